--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,128 @@
+package wire
+
+import (
+	"fmt"
+	"strings"
+
+	"flaxshelf.example/flaxshelf"
+)
+
+var effects = map[string]flaxshelf.Effect{
+	"read_like": flaxshelf.Safe, "idempotency_key": flaxshelf.Keyed, "non_idempotent": flaxshelf.Unsafe,
+}
+
+var extents = map[string]flaxshelf.Extent{
+	"off": flaxshelf.Nowhere, "machine": flaxshelf.OnMachine, "cell": flaxshelf.InCell,
+	"zone": flaxshelf.InZone, "all": flaxshelf.Everywhere,
+}
+
+// list splits a setting that is a comma-joined list.
+func (f *fields) list(name string) []string {
+	s := f.text(name, false)
+	if s == "" {
+		return nil
+	}
+	return strings.Split(s, ",")
+}
+
+// nth reads item i of a list of numbers; absent where the list is too short.
+func (f *fields) nth(name string, i int, absent float64) float64 {
+	l := f.list(name)
+	if i >= len(l) {
+		return absent
+	}
+	return (&fields{serial: f.serial, pairs: []string{name + "=" + l[i]}}).into(f, name)
+}
+
+func (f *fields) into(parent *fields, name string) float64 {
+	x := f.num(name, true)
+	if f.err != nil && parent.err == nil {
+		parent.err = f.err
+	}
+	return x
+}
+
+// settings reads the pairs of an UP line. Keys that this version doesn't know are skipped.
+func settings(f *fields) (flaxshelf.Config, *names) {
+	n := &names{class: map[string]int{}, kind: map[string]int{}, tenant: map[string]int{}}
+	c := flaxshelf.Config{
+		Index: int(f.int("index", false)), Schedulers: int(f.int("balancers", false)), Zone: f.text("zone", false),
+		OverShareWorth: f.num("over_share_worth", false),
+		AcceptCores:    f.num("specifics.admit_cores", false),
+		AcceptMemory:   f.num("specifics.memory_multiple", false),
+		RunsWhenPlaced: f.text("specifics.confirms", false) == "running",
+		Preempts:       f.flag("specifics.pushes_out"),
+		ListsFree:      f.flag("specifics.shows_free"),
+		ReportsUsed:    f.text("specifics.measured_by", false) == "used",
+		DiscoveryAsks:  f.text("discovery", false) == "on_request",
+		MaxAttempts:    int(f.int("caps.most_tries", false)),
+		SecondCopies:   f.flag("caps.second_copies"),
+		CanWithdraw:    f.flag("caps.cancel"),
+		CanProbe:       f.flag("caps.probes"),
+		CanMessage:     f.flag("caps.peers"),
+		CanRetryAfter:  f.flag("caps.retry_after"),
+		MaxRetryAfter:  f.dur("caps.max_retry_after_ns", false),
+		ConnectTimeout: f.dur("caps.connect_timeout_ns", false),
+		Tick:           f.dur("round_ns", false),
+		AnswerSlack:    f.dur("obligations.answer_slack_ns", false),
+		DrainGrace:     f.dur("obligations.stop_sending_within_ns", false),
+		AskWithin:      f.dur("obligations.ask_within_ns", false),
+		ColdFor:        f.dur("obligations.cold_ns", false),
+		FallWindow:     f.dur("obligations.fall_ns", false),
+		ColdOffers:     f.num("specifics.fresh_offers", false),
+		Prices: flaxshelf.Prices{
+			CrossZone: f.num("prices.cross_zone", false), Waste: f.num("prices.waste", false),
+			Probe: f.num("prices.probe", false), Message: f.num("prices.peer", false),
+			Moves: f.num("prices.moves", false), Discovery: f.num("prices.discovery", false),
+			Fleet: f.num("prices.fleet", false), Refused: f.num("specifics.refusal_fee", false),
+			EvictionMoves: f.num("specifics.eviction_as_moves", false),
+		},
+	}
+	for i, name := range f.list("kinds") {
+		n.kind[name] = i
+		c.Kinds = append(c.Kinds, flaxshelf.Kind{Name: name,
+			Cores: f.nth("specifics.kind_cores", i, 0), Memory: f.nth("specifics.mem_of_kind", i, 0)})
+	}
+	for i := range f.count("categories.count") {
+		at := func(key string) string { return fmt.Sprintf("categories.%d.%s", i, key) }
+		spread := f.list("specifics.spread_over")
+		class := flaxshelf.Class{
+			Name: f.text(at("name"), true), Effect: lookup(f, at("effect"), effects, flaxshelf.Unsafe),
+			Group: lookup(f, at("key_scope"), extents, flaxshelf.Everywhere), Window: f.dur(at("key_ttl_ns"), false),
+			Aim: f.dur(at("objective_ns"), false), Worth: f.num(at("worth"), false),
+			LateWorth:    f.num(at("late_worth"), false),
+			StartSeconds: f.nth("specifics.start_seconds", i, 0),
+			Calm:         f.nth("specifics.class_calm", i, 1), Fade: f.nth("specifics.fade_span", i, 1),
+			Kind:     int(f.nth("specifics.kind_by_class", i, -1)),
+			Priority: int(f.nth("specifics.priority_by_class", i, 0)),
+			Most:     int(f.nth("specifics.together_max", i, 0)),
+		}
+		if i < len(spread) {
+			place, ok := extents[spread[i]]
+			if !ok || place == flaxshelf.Everywhere {
+				f.fail("specifics.spread_over", spread[i])
+			}
+			class.Spread = place
+		}
+		n.class[class.Name] = i
+		c.Classes = append(c.Classes, class)
+	}
+	for i := range f.count("customers.count") {
+		at := func(key string) string { return fmt.Sprintf("customers.%d.%s", i, key) }
+		t := flaxshelf.Tenant{Name: f.text(at("name"), true), Share: f.num(at("fraction"), false),
+			PerSecond: f.num(at("quota_per_s"), false), QuotaCores: f.nth("specifics.quota_cores", i, 0)}
+		n.tenant[t.Name] = i
+		c.Tenants = append(c.Tenants, t)
+	}
+	return c, n
+}
+
+// count reads the length of a list of objects; the line must hold at least one pair for each.
+func (f *fields) count(name string) int {
+	n := f.int(name, false)
+	if n < 0 || n > int64(len(f.pairs)) {
+		f.fail(name, fmt.Sprint(n))
+		return 0
+	}
+	return int(n)
+}
--- /dev/null
+++ b/placer.go
@@ -0,0 +1,890 @@
+package flaxshelf
+
+// Every decision of a scheduler is made in this file; the interface, with its events and actions, is in
+// api.go. Sections: tuned values, state, lifecycle, evidence, bars, replay, answers.
+//
+// Choosing a machine has three steps, see choose: hard bars that are never relaxed, soft bars that give way
+// in a fixed order, and the replay vote among what is left.
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// ---- Tuned values. None comes from a deployment; times are against the settings where one fits.
+
+const (
+	runs        = 24               // r: replays a vote
+	reach       = 3.0              // d reaches back so many mean lives: what is older has mostly ended
+	maxHistory  = 768              // and never over so many binds, which bounds the work of a vote
+	firstLife   = 60 * time.Second // the mean life before any task was seen to end
+	several     = 2                // a soft bar that would leave fewer machines than this is skipped
+	homes       = 3                // machines that a service's programs are kept together on
+	baseBar     = 500 * time.Millisecond
+	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
+	forget      = 10 * time.Second
+	strainBar   = 1500 * time.Millisecond
+	fullBar     = 400 * time.Millisecond
+	queueBar    = 150 * time.Millisecond
+	shortMemory = 0.92 // share of a machine's memory in use beyond which it is short
+	overMean    = 0.15 // a reported load so far over the mean of its peers contradicts the replay
+	reportFresh = 3 * time.Second
+	holdStep    = 40 * time.Millisecond // how often a held task is looked at again
+	askRetry    = 250 * time.Millisecond
+	keepUnseen  = time.Minute // a machine that is gone is remembered this long
+)
+
+// ---- State.
+
+type machine struct {
+	Machine
+	listed   bool // named by a list in this life of the scheduler
+	goneAt   Time
+	offers   []Time // recent offers, kept while the machine may be cold
+	failBar  Time   // no offers until then: it failed, was lost or could not be reached
+	strikes  int
+	failedAt Time
+	strained Time // until then: our tasks there are served badly or memory is short
+	fullBar  Time // until then it refuses tasks of fullSize or more
+	fullSize float64
+	load     Load
+	loadAt   Time
+	viewAt   Time
+	services map[string]int // our attempts and tasks there, by service
+	cores    float64        // asked by them
+	memory   float64
+}
+
+type attempt struct {
+	m       *machine
+	sent    Time
+	live    bool // no Ended yet
+	proved  bool // surely never ran
+	done    bool
+	placed  bool
+	history *bind
+}
+
+type task struct {
+	Task
+	class    *Class
+	taken    Time
+	attempts []attempt
+	settled  bool // it has its final answer, or needs none
+	placed   bool
+}
+
+// bind is one replayed offer: what was asked of which machine when, and the life drawn for it.
+type bind struct {
+	m             *machine
+	at            Time
+	class         int
+	cores, memory float64
+	hint          time.Duration
+	off           bool // it left the history
+}
+
+// lifetime is what a class's lives add up to: a censored mean, see meanLife.
+type lifetime struct {
+	seen  time.Duration
+	ended int
+}
+
+// Placer makes the decisions of one scheduler.
+type Placer struct {
+	cfg      Config
+	rng      *rand.Rand
+	now      Time
+	born     Time
+	started  bool
+	out      []Action
+	machines map[string]*machine
+	order    []*machine // by ID
+	tasks    map[string]*task
+	open     []*task // taken, not yet settled, in order of arrival
+	history  []*bind // in order of time
+	lives    []lifetime
+	lag      float64 // smoothed seconds from offer to Placed
+	lagDev   float64
+	wakes    Time // the earliest wake still to come; 0: none
+	askAt    Time // when to subscribe next; 0: not needed
+	askFails int
+	unknown  Class
+	votes    []int
+	sums     []float64
+}
+
+// New makes the Placer of one scheduler. Equal settings, seeds and events give equal actions.
+func New(cfg Config, seed uint64) (*Placer, error) {
+	if err := validate(&cfg); err != nil {
+		return nil, err
+	}
+	p := &Placer{
+		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		machines: map[string]*machine{}, tasks: map[string]*task{},
+		lives:   make([]lifetime, len(cfg.Classes)),
+		unknown: Class{Effect: Unsafe, Kind: -1},
+	}
+	return p, nil
+}
+
+func validate(c *Config) error {
+	c.Schedulers = max(c.Schedulers, 1)
+	for i, k := range c.Kinds {
+		if !(k.Cores > 0) || !(k.Memory > 0) {
+			return fmt.Errorf("flaxshelf: Kinds[%d] (%s): Cores and Memory must be above 0", i, k.Name)
+		}
+	}
+	for i, cl := range c.Classes {
+		switch {
+		case cl.Kind < -1 || cl.Kind >= len(c.Kinds):
+			return fmt.Errorf("flaxshelf: Classes[%d].Kind: no kind %d", i, cl.Kind)
+		case cl.Effect < Safe || cl.Effect > Unsafe:
+			return fmt.Errorf("flaxshelf: Classes[%d].Effect: unknown effect %d", i, cl.Effect)
+		case cl.Effect == Keyed && (cl.Group < OnMachine || cl.Group > Everywhere):
+			return fmt.Errorf("flaxshelf: Classes[%d].Group: a keyed class needs a group", i)
+		case cl.Spread < Nowhere || cl.Spread > InZone:
+			return fmt.Errorf("flaxshelf: Classes[%d].Spread: unknown place %d", i, cl.Spread)
+		case cl.Spread != Nowhere && cl.Most < 1:
+			return fmt.Errorf("flaxshelf: Classes[%d].Most: a spread rule needs 1 or more", i)
+		}
+	}
+	for _, d := range []struct {
+		name string
+		v    time.Duration
+	}{{"Tick", c.Tick}, {"DrainGrace", c.DrainGrace}, {"AskWithin", c.AskWithin}, {"ColdFor", c.ColdFor},
+		{"FallWindow", c.FallWindow}, {"ConnectTimeout", c.ConnectTimeout}} {
+		if d.v < 0 {
+			return fmt.Errorf("flaxshelf: %s: must not be negative", d.name)
+		}
+	}
+	if c.MaxAttempts < 0 {
+		return fmt.Errorf("flaxshelf: MaxAttempts: must not be negative")
+	}
+	return nil
+}
+
+// ---- Lifecycle.
+
+// Step takes what has happened since the last one, in order, and returns what to do now.
+func (p *Placer) Step(now Time, events []Event) []Action {
+	if !p.started {
+		p.started, p.born = true, now
+		if p.cfg.DiscoveryAsks {
+			p.askAt = now
+		}
+	}
+	p.now, p.out = max(now, p.now), nil
+	if p.wakes <= p.now {
+		p.wakes = 0
+	}
+	for _, e := range events {
+		p.take(e)
+	}
+	p.ask()
+	p.serve()
+	p.prune()
+	p.sleep()
+	return p.out
+}
+
+func (p *Placer) do(a Action) { p.out = append(p.out, a) }
+
+func (p *Placer) take(e Event) {
+	switch e := e.(type) {
+	case Listed:
+		p.listed(e)
+	case ListFailed:
+		p.listFailed()
+	case Place:
+		if p.tasks[e.Task.ID] == nil {
+			t := p.newTask(e.Task)
+			p.open = append(p.open, t)
+		}
+	case Running:
+		p.running(e)
+	case Placed:
+		p.placed(e)
+	case Ended:
+		p.ended(e)
+	case Note:
+		p.note(e)
+	case Probed:
+		if m := p.machines[e.Machine]; m != nil {
+			p.report(m, e.Load)
+		}
+	case Gone:
+		if t := p.tasks[e.Task]; t != nil {
+			t.settled = true
+			p.drop(t)
+		}
+	}
+}
+
+func (p *Placer) newTask(spec Task) *task {
+	t := &task{Task: spec, class: &p.unknown, taken: p.now}
+	if spec.Class >= 0 && spec.Class < len(p.cfg.Classes) {
+		t.class = &p.cfg.Classes[spec.Class]
+	}
+	p.tasks[spec.ID] = t
+	return t
+}
+
+// running takes over a task that runs: it counts for spread and joins the history as from now.
+func (p *Placer) running(e Running) {
+	if p.tasks[e.Task.ID] != nil {
+		return
+	}
+	t := p.newTask(e.Task)
+	t.settled, t.placed = true, true
+	p.occupy(t, p.machine(e.Machine))
+	t.attempts[0].placed = true
+}
+
+// occupy books a new attempt of t on m.
+func (p *Placer) occupy(t *task, m *machine) {
+	b := &bind{m: m, at: p.now, class: t.Class, cores: t.Cores, memory: t.Memory, hint: t.Life}
+	p.history = append(p.history, b)
+	t.attempts = append(t.attempts, attempt{m: m, sent: p.now, live: true, history: b})
+	m.services[t.Service]++
+	m.cores += t.Cores
+	m.memory += t.Memory
+}
+
+func (p *Placer) machine(id string) *machine {
+	m := p.machines[id]
+	if m == nil {
+		m = &machine{Machine: Machine{ID: id, Kind: -1, State: Out}, goneAt: p.now, services: map[string]int{}}
+		p.machines[id] = m
+		i, _ := slices.BinarySearchFunc(p.order, id, func(m *machine, id string) int { return cmp.Compare(m.ID, id) })
+		p.order = slices.Insert(p.order, i, m)
+	}
+	return m
+}
+
+func (p *Placer) listed(e Listed) {
+	named := make(map[string]bool, len(e.Machines))
+	for _, entry := range e.Machines {
+		named[entry.ID] = true
+		m := p.machine(entry.ID)
+		if entry.Kind < 0 || entry.Kind >= len(p.cfg.Kinds) {
+			entry.Kind = -1
+		}
+		if m.listed && entry.Started > m.Started {
+			p.restarted(m)
+		}
+		if entry.State == Out && m.State != Out {
+			m.goneAt = p.now
+			p.forgetBinds(m, p.now)
+		}
+		m.Machine, m.listed = entry, true
+		m.viewAt = p.now
+	}
+	if e.Whole {
+		for _, m := range p.order {
+			if !named[m.ID] && m.State != Out {
+				m.State, m.goneAt = Out, p.now
+				p.forgetBinds(m, p.now)
+			}
+		}
+	}
+	if !e.Stale {
+		p.askAt, p.askFails = 0, 0
+	}
+}
+
+// restarted clears what was known of a machine's former life.
+func (p *Placer) restarted(m *machine) {
+	m.failBar, m.strikes, m.strained, m.fullBar, m.load = 0, 0, 0, 0, Load{}
+	p.forgetBinds(m, p.now)
+}
+
+// forgetBinds is an exception to the plain replay: a lost machine keeps its replayed tasks, which would make
+// its next life look full. Acts when discovery says that the machine is gone or has started anew.
+func (p *Placer) forgetBinds(m *machine, before Time) {
+	for _, b := range p.history {
+		if b.m == m && b.at < before {
+			b.off = true
+		}
+	}
+}
+
+func (p *Placer) listFailed() {
+	if !p.cfg.DiscoveryAsks {
+		return
+	}
+	p.askFails++
+	wait := askRetry << min(p.askFails-1, 3)
+	p.askAt = p.now + wait/2 + time.Duration(p.rng.Int64N(int64(wait)))
+}
+
+// ask subscribes where changes must be asked for. A call that no answer came to is made again.
+func (p *Placer) ask() {
+	if p.askAt == 0 && p.started && !p.cfg.DiscoveryAsks || p.askAt == 0 || p.now < p.askAt {
+		return
+	}
+	p.do(Subscribe{})
+	p.askAt = p.now + max(p.cfg.AskWithin, time.Second)
+}
+
+func (p *Placer) placed(e Placed) {
+	t, a := p.attempt(e.Task, e.Attempt)
+	if a == nil || !a.live {
+		return
+	}
+	lag := e.Lag.Seconds()
+	p.lagDev += (math.Abs(lag-p.lag) - p.lagDev) / 8
+	p.lag += (lag - p.lag) / 8
+	a.placed, t.placed, t.settled = true, true, true
+	if a.m.failBar <= p.now && a.m.strikes > 0 && p.now-a.m.failedAt > forget {
+		a.m.strikes = 0
+	}
+}
+
+// attempt finds an attempt by its number; nil where the module knows of none.
+func (p *Placer) attempt(id string, n int) (*task, *attempt) {
+	t := p.tasks[id]
+	if t == nil || n < 0 || n >= len(t.attempts) {
+		return t, nil
+	}
+	return t, &t.attempts[n]
+}
+
+func (p *Placer) ended(e Ended) {
+	if m := p.machines[e.Machine]; m != nil {
+		p.report(m, e.Load)
+	}
+	t, a := p.attempt(e.Task, e.Attempt)
+	if a == nil || !a.live {
+		return
+	}
+	a.live, a.done = false, true
+	a.proved = e.Verdict == Refused || e.Verdict == Unreachable || e.Verdict == NotSent
+	if a.proved {
+		a.history.off = true // it never ran, so it leaves the history
+	}
+	p.release(t, a.m)
+	p.learnLife(t, a, e.Verdict)
+	p.judge(t, a, e)
+	if e.Done || a.placed {
+		t.settled = true
+	}
+	p.drop(t)
+}
+
+func (p *Placer) release(t *task, m *machine) {
+	if m.services[t.Service]--; m.services[t.Service] <= 0 {
+		delete(m.services, t.Service)
+	}
+	m.cores -= t.Cores
+	m.memory -= t.Memory
+}
+
+// drop forgets a task that is settled and has no attempt out.
+func (p *Placer) drop(t *task) {
+	if !t.settled {
+		return
+	}
+	for i := range t.attempts {
+		if t.attempts[i].live {
+			return
+		}
+	}
+	delete(p.tasks, t.ID)
+}
+
+// prune keeps the state bounded.
+func (p *Placer) prune() {
+	oldest := p.now - time.Duration(reach*float64(p.longestLife()))
+	cut := max(0, len(p.history)-maxHistory)
+	for cut < len(p.history) && p.history[cut].at < oldest {
+		cut++
+	}
+	p.history = append(p.history[:0], p.history[cut:]...)
+	p.history = slices.DeleteFunc(p.history, func(b *bind) bool { return b.off })
+	p.order = slices.DeleteFunc(p.order, func(m *machine) bool {
+		if m.State == Out && len(m.services) == 0 && p.now-m.goneAt > keepUnseen {
+			delete(p.machines, m.ID)
+			return true
+		}
+		return false
+	})
+}
+
+// sleep asks to be woken when something falls due.
+func (p *Placer) sleep() {
+	next := Time(math.MaxInt64)
+	if p.askAt > 0 {
+		next = p.askAt
+	}
+	for _, t := range p.open {
+		due := p.answerBy(t)
+		if t.inFlight() == nil {
+			due = min(due, p.now+holdStep)
+		}
+		next = min(next, due)
+	}
+	if next == math.MaxInt64 || p.wakes != 0 && p.wakes <= next {
+		return
+	}
+	p.wakes = max(next, p.now+1)
+	p.do(Wake{After: p.wakes - p.now})
+}
+
+// ---- Evidence: what outcomes, reports and notes say of a machine, each with an expiry.
+
+// strike bars a machine that failed us; each further failure within forget doubles the time.
+func (p *Placer) strike(m *machine) {
+	if p.now-m.failedAt > forget {
+		m.strikes = 0
+	}
+	if p.now >= m.failBar {
+		m.strikes = min(m.strikes+1, maxStrikes)
+	}
+	m.failedAt = p.now
+	m.failBar = max(m.failBar, p.now+baseBar<<m.strikes)
+}
+
+// judge reads an outcome as evidence about its machine.
+func (p *Placer) judge(t *task, a *attempt, e Ended) {
+	m := a.m
+	switch e.Verdict {
+	case Failed, TimedOut, Unreachable:
+		p.strike(m)
+	case Lost:
+		switch e.Reason {
+		case Evicted, PushedOut:
+			m.strained = max(m.strained, p.now+2*strainBar)
+		case SentAway:
+		default:
+			p.strike(m)
+		}
+	case Refused:
+		size := p.size(t, m)
+		if p.now >= m.fullBar || size < m.fullSize {
+			m.fullSize = size
+		}
+		switch e.Reason {
+		case TooManyWait:
+			m.fullSize = 0
+			m.fullBar = max(m.fullBar, p.now+queueBar)
+		case NotHere:
+			m.fullSize = 0
+			m.fullBar = max(m.fullBar, p.now+fullBar)
+		default:
+			m.fullBar = max(m.fullBar, p.now+fullBar)
+		}
+	}
+}
+
+func (p *Placer) note(e Note) {
+	_, a := p.attempt(e.Task, e.Attempt)
+	if a == nil || !a.live {
+		return
+	}
+	switch {
+	case e.Kind == Served && e.Amount < 0.95, e.Kind == MemoryShort && e.Amount > shortMemory:
+		a.m.strained = max(a.m.strained, p.now+strainBar)
+	}
+}
+
+func (p *Placer) report(m *machine, l Load) {
+	if l.Told {
+		m.load, m.loadAt = l, p.now
+	}
+}
+
+// learnLife adds a life that was seen to end; one cut short by its machine counts as not ended.
+func (p *Placer) learnLife(t *task, a *attempt, v Verdict) {
+	if !a.placed || t.Class < 0 || t.Class >= len(p.lives) {
+		return
+	}
+	l := &p.lives[t.Class]
+	l.seen += p.now - a.sent
+	if v == Finished || v == Withdrawn {
+		l.ended++
+	}
+}
+
+// meanLife is the mean of a class's exponential lives with those still running counted as censored: time
+// seen running over endings. Endings alone would be biased short while most tasks still run.
+func (p *Placer) meanLife(class int) time.Duration {
+	if class < 0 || class >= len(p.lives) {
+		return firstLife
+	}
+	l := p.lives[class]
+	return (l.seen + firstLife) / time.Duration(l.ended+1)
+}
+
+func (p *Placer) longestLife() time.Duration {
+	longest := time.Second
+	for c := range p.lives {
+		longest = max(longest, p.meanLife(c))
+	}
+	return min(longest, 5*time.Minute)
+}
+
+// size is the share of machine m that task t asks for: the larger of cores and memory.
+func (p *Placer) size(t *task, m *machine) float64 {
+	if m.Kind < 0 {
+		return 0
+	}
+	k := p.cfg.Kinds[m.Kind]
+	return max(t.Cores/k.Cores, t.Memory/k.Memory)
+}
+
+// ---- Bars.
+
+// choose picks a machine for t: hard bars, soft bars, vote. Nil where the hard bars leave none.
+func (p *Placer) choose(t *task) *machine {
+	var left []*machine
+	for _, m := range p.order {
+		if p.allowed(t, m) {
+			left = append(left, m)
+		}
+	}
+	if len(left) == 0 {
+		return nil
+	}
+	left = p.prefer(t, left)
+	return p.vote(left)
+}
+
+// allowed is the hard bars.
+func (p *Placer) allowed(t *task, m *machine) bool {
+	c := t.class
+	return m.listed && m.State == In && m.Kind >= 0 &&
+		(c.Kind < 0 || c.Kind == m.Kind) &&
+		p.fits(t, m) && p.inGroup(t, m) && p.spreadLeft(t, m) && p.coldLeft(m)
+}
+
+// fits tells whether an empty machine of this kind would take the task.
+func (p *Placer) fits(t *task, m *machine) bool {
+	k := p.cfg.Kinds[m.Kind]
+	return t.Cores <= k.Cores*max(p.cfg.AcceptCores, 1) && t.Memory <= k.Memory*max(p.cfg.AcceptMemory, 1)
+}
+
+// inGroup keeps the second rule: once an attempt may have run, the next must be harmless.
+func (p *Placer) inGroup(t *task, m *machine) bool {
+	for i := range t.attempts {
+		a := &t.attempts[i]
+		if a.proved || t.class.Effect == Safe {
+			continue
+		}
+		if t.class.Effect != Keyed || !same(t.class.Group, a.m, m) || p.now+p.cfg.Tick >= a.sent+t.class.Window {
+			return false
+		}
+	}
+	return true
+}
+
+// same tells whether two machines stand in the same place of the given extent.
+func same(at Extent, a, b *machine) bool {
+	switch at {
+	case OnMachine:
+		return a == b
+	case InCell:
+		return a.listed && b.listed && a.Cell == b.Cell
+	case InZone:
+		return a.listed && b.listed && a.Zone == b.Zone
+	}
+	return at == Everywhere
+}
+
+func (p *Placer) spreadLeft(t *task, m *machine) bool {
+	if t.class.Spread == Nowhere {
+		return true
+	}
+	n := 0
+	for _, o := range p.order {
+		if same(t.class.Spread, o, m) {
+			n += o.services[t.Service]
+		}
+	}
+	return n < t.class.Most
+}
+
+// coldLeft keeps the fourth rule with this scheduler's share of the offers that a cold machine always bears.
+// The window is widened because offers sent apart may arrive together. Risk: after its own restart a
+// scheduler can't know what it has sent, so it takes its share as spent for a window.
+func (p *Placer) coldLeft(m *machine) bool {
+	if !p.cold(m) {
+		return true
+	}
+	window := p.cfg.FallWindow * 3 / 2
+	if p.now-p.born < window && p.born > m.Started {
+		return false
+	}
+	n := 0
+	for _, at := range m.offers {
+		if p.now-at < window {
+			n++
+		}
+	}
+	return float64(n+1) <= math.Floor(p.cfg.ColdOffers/float64(p.cfg.Schedulers))
+}
+
+func (p *Placer) cold(m *machine) bool {
+	return m.Started > 0 && p.cfg.FallWindow > 0 && p.now < m.Started+p.cfg.ColdFor+p.cfg.FallWindow
+}
+
+// prefer is the soft bars, strongest first. One that would leave fewer than its least is skipped, so bad
+// evidence never stops placing; that is the fixed order in which they give way, last to first.
+func (p *Placer) prefer(t *task, left []*machine) []*machine {
+	keep := func(least int, ok func(*machine) bool) {
+		var kept []*machine
+		for _, m := range left {
+			if ok(m) {
+				kept = append(kept, m)
+			}
+		}
+		if len(kept) >= least {
+			left = kept
+		}
+	}
+	// Tried already for this ask: another machine tells more.
+	keep(1, func(m *machine) bool { return !t.tried(m) })
+	// Failing, lost or out of reach. When over half are, the cause is not a machine.
+	keep(max(several, len(left)/2), func(m *machine) bool { return p.now >= m.failBar })
+	keep(1, func(m *machine) bool { return p.now >= m.fullBar || p.size(t, m) < m.fullSize })
+	keep(1, func(m *machine) bool { return p.room(t, m) })
+	keep(several, func(m *machine) bool { return p.now >= m.strained })
+	keep(several, func(m *machine) bool { return !p.cold(m) })
+	if p.cfg.Prices.CrossZone > 0 {
+		keep(several, func(m *machine) bool { return m.Zone == p.cfg.Zone })
+	}
+	mean := 0.0
+	for _, m := range left {
+		mean += p.told(m) / float64(len(left))
+	}
+	keep(several, func(m *machine) bool { return p.told(m) < mean+overMean })
+	home := p.homes(t, left)
+	keep(several, func(m *machine) bool { return home[m] })
+	return left
+}
+
+// told is the load that a machine's last report tells; 0 without a fresh one.
+func (p *Placer) told(m *machine) float64 {
+	if !m.load.Told || p.now-m.loadAt > reportFresh || m.Kind < 0 {
+		return 0
+	}
+	k, load := p.cfg.Kinds[m.Kind], 0.0
+	if m.load.HasCores {
+		load = max(load, 1-m.load.FreeCores/k.Cores)
+	}
+	if m.load.HasMemory {
+		load = max(load, 1-m.load.FreeMemory/k.Memory)
+	}
+	return load
+}
+
+// room tells whether the list's free cores and memory leave room for t; true where it tells none.
+func (p *Placer) room(t *task, m *machine) bool {
+	if !p.cfg.ListsFree {
+		return true
+	}
+	k := p.cfg.Kinds[m.Kind]
+	return m.FreeCores+(p.cfg.AcceptCores-1)*k.Cores >= t.Cores &&
+		m.FreeMemory+(p.cfg.AcceptMemory-1)*k.Memory >= t.Memory
+}
+
+// homes names the few machines that a service's tasks go to, so that its program is held where they start.
+// Ranking by a hash of service and machine lets all schedulers name the same ones without talking; when
+// one is barred only its own services move. Machines where we have tasks of the service count too.
+func (p *Placer) homes(t *task, left []*machine) map[*machine]bool {
+	type rank struct {
+		m *machine
+		h uint64
+	}
+	ranks := make([]rank, len(left))
+	for i, m := range left {
+		h := fnv.New64a()
+		h.Write([]byte(m.ID))
+		h.Write([]byte(t.Service))
+		ranks[i] = rank{m, mix(h.Sum64())}
+	}
+	slices.SortFunc(ranks, func(a, b rank) int { return cmp.Compare(a.h, b.h) })
+	home := map[*machine]bool{}
+	for i, r := range ranks {
+		if i < homes || r.m.services[t.Service] > 0 {
+			home[r.m] = true
+		}
+	}
+	return home
+}
+
+// mix spreads the bits of a hash whose inputs are much alike.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// ---- Replay.
+
+// vote replays the history r times from an empty fleet. Each run names the least loaded machine of left now;
+// the one named most often wins, ties at random.
+func (p *Placer) vote(left []*machine) *machine {
+	if len(left) == 1 {
+		return left[0]
+	}
+	index := make(map[*machine]int, len(left))
+	for i, m := range left {
+		index[m] = i
+	}
+	type replayed struct {
+		i             int
+		cores, memory float64
+		alive         float64 // chance that the drawn life reaches to now
+	}
+	var rs []replayed
+	for _, b := range p.history {
+		i, ok := index[b.m]
+		if !ok || b.off || b.m.Kind < 0 {
+			continue
+		}
+		k := p.cfg.Kinds[b.m.Kind]
+		rs = append(rs, replayed{i, b.cores / k.Cores, b.memory / k.Memory, p.alive(b)})
+	}
+	votes := make([]int, len(left))
+	cores, memory := make([]float64, len(left)), make([]float64, len(left))
+	for range runs {
+		clear(cores)
+		clear(memory)
+		for _, r := range rs {
+			if r.alive >= 1 || p.rng.Float64() < r.alive {
+				cores[r.i] += r.cores
+				memory[r.i] += r.memory
+			}
+		}
+		votes[p.least(len(left), func(i int) float64 { return max(cores[i], memory[i]) })]++
+	}
+	return left[p.least(len(left), func(i int) float64 { return -float64(votes[i]) })]
+}
+
+// alive is the chance that the life drawn for b has not ended: its hint where given, else exponential with
+// its class's mean life. Drawing once against it is the same as drawing the life.
+func (p *Placer) alive(b *bind) float64 {
+	age := p.now - b.at
+	if b.hint > 0 {
+		if age < b.hint {
+			return 1
+		}
+		return 0
+	}
+	return math.Exp(-float64(age) / float64(p.meanLife(b.class)))
+}
+
+// least returns the index of the least value, ties at random.
+func (p *Placer) least(n int, value func(int) float64) int {
+	best, ties := 0, 1
+	for i := 1; i < n; i++ {
+		switch v, b := value(i), value(best); {
+		case v < b:
+			best, ties = i, 1
+		case v == b:
+			if ties++; p.rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// ---- Answers.
+
+// serve goes through the open tasks: it answers what is due and offers what has no attempt out.
+func (p *Placer) serve() {
+	for _, t := range p.open {
+		if t.settled {
+			continue
+		}
+		if a := t.inFlight(); a != nil {
+			if p.now >= p.answerBy(t) {
+				p.answer(t)
+			}
+			continue
+		}
+		p.place(t)
+	}
+	p.open = slices.DeleteFunc(p.open, func(t *task) bool { return t.settled })
+}
+
+// place offers t to a machine, holds it, or gives it up.
+func (p *Placer) place(t *task) {
+	if p.now >= p.offerBy(t) || p.cfg.MaxAttempts > 0 && len(t.attempts) >= p.cfg.MaxAttempts ||
+		t.class == &p.unknown || t.class.Effect == Unsafe && t.mayHaveRun() {
+		p.answer(t)
+		return
+	}
+	m := p.choose(t)
+	if m == nil {
+		// Nothing may take it now. Held a while, since an owner that is turned away comes again late.
+		if t.mayHaveRun() && t.class.Effect == Keyed || p.now-t.taken > max(t.class.Aim, time.Second) {
+			p.answer(t)
+		}
+		return
+	}
+	p.occupy(t, m)
+	if p.cold(m) {
+		m.offers = slices.DeleteFunc(m.offers, func(at Time) bool { return p.now-at > 2*p.cfg.FallWindow })
+		m.offers = append(m.offers, p.now)
+	}
+	p.do(Offer{Task: t.ID, Machine: m.ID, Timeout: p.timeout(t)})
+}
+
+// timeout leaves time for a further attempt where one would be allowed, and ends before the answer is due.
+func (p *Placer) timeout(t *task) time.Duration {
+	left := p.offerBy(t) - p.now
+	if t.class.Effect == Unsafe || p.cfg.MaxAttempts > 0 && len(t.attempts) >= p.cfg.MaxAttempts {
+		return left
+	}
+	usual := time.Duration((p.lag + 4*p.lagDev) * float64(time.Second))
+	return min(left, max(usual, t.class.Aim/2, 50*time.Millisecond))
+}
+
+// answerBy is the last moment to give the final answer; an attempt's time-out comes a tick earlier.
+func (p *Placer) answerBy(t *task) Time { return t.ValidUntil - p.margin() }
+func (p *Placer) offerBy(t *task) Time  { return t.ValidUntil - 2*p.margin() }
+func (p *Placer) margin() time.Duration { return 2*p.cfg.Tick + time.Millisecond }
+
+// answer ends t: a refusal promises that a retry is safe, so it needs proof or a class that bears repeats.
+func (p *Placer) answer(t *task) {
+	t.settled = true
+	for i := range t.attempts {
+		if t.attempts[i].live && p.cfg.CanWithdraw {
+			p.do(Withdraw{Task: t.ID, Attempt: i})
+		}
+	}
+	c := t.class
+	if !t.mayHaveRun() || c.Effect == Safe || c.Effect == Keyed && c.Group == Everywhere {
+		p.do(Refuse{Task: t.ID})
+	} else {
+		p.do(Fail{Task: t.ID})
+	}
+	p.drop(t)
+}
+
+func (t *task) inFlight() *attempt {
+	for i := range t.attempts {
+		if t.attempts[i].live {
+			return &t.attempts[i]
+		}
+	}
+	return nil
+}
+
+func (t *task) mayHaveRun() bool {
+	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return !a.proved })
+}
+
+func (t *task) tried(m *machine) bool {
+	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return a.m == m })
+}
