--- a/placer.go
+++ b/placer.go
@@ -24,7 +24,7 @@
 	maxHistory  = 768              // and never over so many binds, which bounds the work of a vote
 	firstLife   = 60 * time.Second // the mean life before any task was seen to end
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
-	homes       = 3                // machines that a service's programs are kept together on
+	homes       = 1                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
 	forget      = 10 * time.Second
@@ -655,16 +655,14 @@
 	keep(1, func(m *machine) bool { return p.room(t, m) })
 	keep(several, func(m *machine) bool { return p.now >= m.strained })
 	keep(several, func(m *machine) bool { return !p.cold(m) })
-	if p.cfg.Prices.CrossZone > 0 {
-		keep(several, func(m *machine) bool { return m.Zone == p.cfg.Zone })
-	}
 	mean := 0.0
 	for _, m := range left {
 		mean += p.told(m) / float64(len(left))
 	}
 	keep(several, func(m *machine) bool { return p.told(m) < mean+overMean })
 	home := p.homes(t, left)
-	keep(several, func(m *machine) bool { return home[m] })
+	keep(1, func(m *machine) bool { return home[m] })
+	_ = 0
 	return left
 }
 
