--- a/placer.go
+++ b/placer.go
@@ -52,6 +52,7 @@
 	strained Time // until then: our tasks there are served badly or memory is short
 	fullBar  Time // until then it refuses tasks of fullSize or more
 	fullSize float64
+	fulls    int // refusals in a row
 	load     Load
 	loadAt   Time
 	viewAt   Time
@@ -341,6 +342,7 @@
 	p.lagDev += (math.Abs(lag-p.lag) - p.lagDev) / 8
 	p.lag += (lag - p.lag) / 8
 	a.placed, t.placed, t.settled = true, true, true
+	a.m.fulls = 0
 	if a.m.failBar <= p.now && a.m.strikes > 0 && p.now-a.m.failedAt > forget {
 		a.m.strikes = 0
 	}
@@ -369,6 +371,9 @@
 		a.history.off = true // it never ran, so it leaves the history
 	}
 	p.release(t, a.m)
+	if a.placed {
+		a.m.fullSize += p.size(t, a.m) // room came free
+	}
 	p.learnLife(t, a, e.Verdict)
 	p.judge(t, a, e)
 	if e.Done || a.placed {
@@ -477,7 +482,8 @@
 			m.fullSize = 0
 			m.fullBar = max(m.fullBar, p.now+fullBar)
 		default:
-			m.fullBar = max(m.fullBar, p.now+fullBar)
+			m.fullBar = max(m.fullBar, p.now+fullBar<<m.fulls)
+			m.fulls = min(m.fulls+1, 3)
 		}
 	}
 }
@@ -551,7 +557,9 @@
 	if len(left) == 0 {
 		return nil
 	}
-	left = p.prefer(t, left)
+	if left = p.prefer(t, left); len(left) == 0 {
+		return nil
+	}
 	return p.vote(left)
 }
 
@@ -651,10 +659,15 @@
 	keep(1, func(m *machine) bool { return !t.tried(m) })
 	// Failing, lost or out of reach. When over half are, the cause is not a machine.
 	keep(max(several, len(left)/2), func(m *machine) bool { return p.now >= m.failBar })
+	// Full, as far as told. A refused offer is priced and uses up an attempt, so while the aim can still be
+	// met (or the task is held anyway) waiting is better than asking machines that just said no.
+	full := len(left)
 	keep(1, func(m *machine) bool { return p.now >= m.fullBar || p.size(t, m) < m.fullSize })
+	if len(left) == full && (p.now < left[0].fullBar && p.size(t, left[0]) >= left[0].fullSize) {
+		return nil
+	}
 	keep(1, func(m *machine) bool { return p.room(t, m) })
 	keep(several, func(m *machine) bool { return p.now >= m.strained })
-	keep(several, func(m *machine) bool { return !p.cold(m) })
 	mean := 0.0
 	for _, m := range left {
 		mean += p.told(m) / float64(len(left))
@@ -825,7 +838,7 @@
 	m := p.choose(t)
 	if m == nil {
 		// Nothing may take it now. Held a while, since an owner that is turned away comes again late.
-		if t.mayHaveRun() && t.class.Effect == Keyed || p.now-t.taken > max(t.class.Aim, time.Second) {
+		if t.mayHaveRun() && t.class.Effect == Keyed || p.now-t.taken > max(t.class.Aim, 5*time.Second) {
 			p.answer(t)
 		}
 		return
