Hold while no machine tells room; one offer at a time after a refusal or failure

Also guards a recovering machine against a rush. Could hurt where refusals are wrong for larger machines.

--- a/placer.go
+++ b/placer.go
@@ -43,22 +43,24 @@
 
 type machine struct {
 	Machine
-	listed   bool // named by a list in this life of the scheduler
-	goneAt   Time
-	offers   []Time // recent offers, kept while the machine may be cold
-	failBar  Time   // no offers until then: it failed, was lost or could not be reached
-	strikes  int
-	failedAt Time
-	strained Time // until then: our tasks there are served badly or memory is short
-	fullBar  Time // until then it refuses tasks of fullSize or more
-	fullSize float64
-	fulls    int // refusals in a row
-	load     Load
-	loadAt   Time
-	viewAt   Time
-	services map[string]int // our attempts and tasks there, by service
-	cores    float64        // asked by them
-	memory   float64
+	listed    bool // named by a list in this life of the scheduler
+	goneAt    Time
+	offers    []Time // recent offers, kept while the machine may be cold
+	failBar   Time   // no offers until then: it failed, was lost or could not be reached
+	strikes   int
+	failedAt  Time
+	strained  Time // until then: our tasks there are served badly or memory is short
+	fullBar   Time // until then it refuses tasks of fullSize or more
+	fullSize  float64
+	fulls     int     // refusals in a row
+	waiting   int     // our offers there without an answer yet
+	newCores  float64 // asked by our binds since the list's last word
+	newMemory float64
+	load      Load
+	loadAt    Time
+	services  map[string]int // our attempts and tasks there, by service
+	cores     float64        // asked by them
+	memory    float64
 }
 
 type attempt struct {
@@ -245,6 +247,7 @@
 	t.settled, t.placed = true, true
 	p.occupy(t, p.machine(e.Machine))
 	t.attempts[0].placed = true
+	t.attempts[0].m.waiting--
 }
 
 // occupy books a new attempt of t on m.
@@ -255,6 +258,9 @@
 	m.services[t.Service]++
 	m.cores += t.Cores
 	m.memory += t.Memory
+	m.newCores += t.Cores
+	m.newMemory += t.Memory
+	m.waiting++
 }
 
 func (p *Placer) machine(id string) *machine {
@@ -284,7 +290,7 @@
 			p.forgetBinds(m, p.now)
 		}
 		m.Machine, m.listed = entry, true
-		m.viewAt = p.now
+		m.newCores, m.newMemory = 0, 0
 	}
 	if e.Whole {
 		for _, m := range p.order {
@@ -343,7 +349,8 @@
 	p.lag += (lag - p.lag) / 8
 	a.placed, t.placed, t.settled = true, true, true
 	a.m.fulls = 0
-	if a.m.failBar <= p.now && a.m.strikes > 0 && p.now-a.m.failedAt > forget {
+	a.m.waiting--
+	if p.now-a.m.failedAt > forget {
 		a.m.strikes = 0
 	}
 }
@@ -373,6 +380,8 @@
 	p.release(t, a.m)
 	if a.placed {
 		a.m.fullSize += p.size(t, a.m) // room came free
+	} else {
+		a.m.waiting--
 	}
 	p.learnLife(t, a, e.Verdict)
 	p.judge(t, a, e)
@@ -658,15 +667,15 @@
 	// Tried already for this ask: another machine tells more.
 	keep(1, func(m *machine) bool { return !t.tried(m) })
 	// Failing, lost or out of reach. When over half are, the cause is not a machine.
-	keep(max(several, len(left)/2), func(m *machine) bool { return p.now >= m.failBar })
-	// Full, as far as told. A refused offer is priced and uses up an attempt, so while the aim can still be
-	// met (or the task is held anyway) waiting is better than asking machines that just said no.
-	full := len(left)
-	keep(1, func(m *machine) bool { return p.now >= m.fullBar || p.size(t, m) < m.fullSize })
-	if len(left) == full && (p.now < left[0].fullBar && p.size(t, left[0]) >= left[0].fullSize) {
-		return nil
-	}
-	keep(1, func(m *machine) bool { return p.room(t, m) })
+	keep(max(several, len(left)/2), func(m *machine) bool { return !p.failing(m) })
+	// Full as far as told. A refused offer is priced and uses up an attempt, so a task is held while no
+	// machine has room, until most of its time is gone.
+	last := t.taken + (t.ValidUntil-t.taken)*3/4
+	least := 1
+	if p.now < last {
+		least = 0
+	}
+	keep(least, func(m *machine) bool { return !p.full(t, m) })
 	keep(several, func(m *machine) bool { return p.now >= m.strained })
 	mean := 0.0
 	for _, m := range left {
@@ -675,10 +684,19 @@
 	keep(several, func(m *machine) bool { return p.told(m) < mean+overMean })
 	home := p.homes(t, left)
 	keep(1, func(m *machine) bool { return home[m] })
-	_ = 0
 	return left
 }
 
+// failing: it failed lately, or did so and one offer is out to find whether it has recovered, without a rush.
+func (p *Placer) failing(m *machine) bool {
+	return p.now < m.failBar || m.strikes > 0 && m.waiting > 0
+}
+
+// full: it lately refused such a size, or did so and one offer is out to find out, or the list tells no room.
+func (p *Placer) full(t *task, m *machine) bool {
+	return p.now < m.fullBar && p.size(t, m) >= m.fullSize || m.fulls > 0 && m.waiting > 0 || !p.room(t, m)
+}
+
 // told is the load that a machine's last report tells; 0 without a fresh one.
 func (p *Placer) told(m *machine) float64 {
 	if !m.load.Told || p.now-m.loadAt > reportFresh || m.Kind < 0 {
@@ -700,8 +718,8 @@
 		return true
 	}
 	k := p.cfg.Kinds[m.Kind]
-	return m.FreeCores+(p.cfg.AcceptCores-1)*k.Cores >= t.Cores &&
-		m.FreeMemory+(p.cfg.AcceptMemory-1)*k.Memory >= t.Memory
+	return m.FreeCores-m.newCores+(p.cfg.AcceptCores-1)*k.Cores >= t.Cores &&
+		m.FreeMemory-m.newMemory+(p.cfg.AcceptMemory-1)*k.Memory >= t.Memory
 }
 
 // homes names the few machines that a service's tasks go to, so that its program is held where they start.
