--- a/placer.go
+++ b/placer.go
@@ -830,7 +830,10 @@
 // ---- Answers.
 
 // serve goes through the open tasks: it answers what is due and offers what has no attempt out.
+//
+// Those that can still start within their aim go first: when room is short, a start in time is worth most.
 func (p *Placer) serve() {
+	slices.SortStableFunc(p.open, func(a, b *task) int { return cmp.Compare(p.rank(a), p.rank(b)) })
 	for _, t := range p.open {
 		if t.settled {
 			continue
@@ -846,6 +849,13 @@
 	p.open = slices.DeleteFunc(p.open, func(t *task) bool { return t.settled })
 }
 
+func (p *Placer) rank(t *task) int {
+	if p.now > t.taken+t.class.Aim {
+		return 1
+	}
+	return 0
+}
+
 // place offers t to a machine, holds it, or gives it up.
 func (p *Placer) place(t *task) {
 	if p.now >= p.offerBy(t) || p.cfg.MaxAttempts > 0 && len(t.attempts) >= p.cfg.MaxAttempts ||
