--- a/placer.go
+++ b/placer.go
@@ -29,7 +29,7 @@
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
 	forget      = 10 * time.Second
 	strainBar   = 1500 * time.Millisecond
-	fullBar     = 150 * time.Millisecond
+	fullBar     = 500 * time.Millisecond
 	queueBar    = 150 * time.Millisecond
 	shortMemory = 0.92 // share of a machine's memory in use beyond which it is short
 	overMean    = 0.15 // a reported load so far over the mean of its peers contradicts the replay
