--- a/placer.go
+++ b/placer.go
@@ -24,6 +24,7 @@
 	maxHistory  = 768              // and never over so many binds, which bounds the work of a vote
 	firstLife   = 60 * time.Second // the mean life before any task was seen to end
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
+	fleetFill   = 1.1              // where machines in use are priced, those needed are filled so far
 	homes       = 2                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
@@ -682,6 +683,10 @@
 		mean += p.told(m) / float64(len(left))
 	}
 	keep(several, func(m *machine) bool { return p.told(m) < mean+overMean })
+	if p.cfg.Prices.Fleet > 0 && p.cfg.ListsFree {
+		used := p.inUse(left)
+		keep(several, func(m *machine) bool { return used[m] })
+	}
 	home := p.homes(t, left)
 	keep(1, func(m *machine) bool { return home[m] })
 	return left
@@ -722,31 +727,57 @@
 		m.FreeMemory-m.newMemory+(p.cfg.AcceptMemory-1)*k.Memory >= t.Memory
 }
 
+// inUse names the machines that suffice for what the whole fleet is asked for now, filled to fleetFill, in an
+// order that all schedulers share. The others drain, where the settings price machines in use.
+func (p *Placer) inUse(left []*machine) map[*machine]bool {
+	var cores, memory float64
+	for _, m := range p.order {
+		if m.listed && m.State != Out && m.Kind >= 0 {
+			k := p.cfg.Kinds[m.Kind]
+			cores += k.Cores - m.FreeCores + m.newCores
+			memory += k.Memory - m.FreeMemory + m.newMemory
+		}
+	}
+	used := map[*machine]bool{}
+	for _, m := range ranked(left, "") {
+		if cores <= 0 && memory <= 0 && len(used) > several {
+			break
+		}
+		k := p.cfg.Kinds[m.Kind]
+		used[m] = true
+		cores -= k.Cores * fleetFill
+		memory -= k.Memory * fleetFill
+	}
+	return used
+}
+
 // homes names the few machines that a service's tasks go to, so that its program is held where they start.
 // Ranking by a hash of service and machine lets all schedulers name the same ones without talking; when
 // one is barred only its own services move. Machines where we have tasks of the service count too.
 func (p *Placer) homes(t *task, left []*machine) map[*machine]bool {
-	type rank struct {
-		m *machine
-		h uint64
-	}
-	ranks := make([]rank, len(left))
-	for i, m := range left {
-		h := fnv.New64a()
-		h.Write([]byte(m.ID))
-		h.Write([]byte(t.Service))
-		ranks[i] = rank{m, mix(h.Sum64())}
-	}
-	slices.SortFunc(ranks, func(a, b rank) int { return cmp.Compare(a.h, b.h) })
 	home := map[*machine]bool{}
-	for i, r := range ranks {
-		if i < homes || r.m.services[t.Service] > 0 {
-			home[r.m] = true
+	for i, m := range ranked(left, t.Service) {
+		if i < homes || m.services[t.Service] > 0 {
+			home[m] = true
 		}
 	}
 	return home
 }
 
+// ranked orders machines by a hash of their ID and salt: an order that schedulers share without talking.
+func ranked(ms []*machine, salt string) []*machine {
+	hash := make(map[*machine]uint64, len(ms))
+	for _, m := range ms {
+		h := fnv.New64a()
+		h.Write([]byte(m.ID))
+		h.Write([]byte(salt))
+		hash[m] = mix(h.Sum64())
+	}
+	ms = slices.Clone(ms)
+	slices.SortFunc(ms, func(a, b *machine) int { return cmp.Compare(hash[a], hash[b]) })
+	return ms
+}
+
 // mix spreads the bits of a hash whose inputs are much alike.
 func mix(h uint64) uint64 {
 	h ^= h >> 33
