--- a/placer.go
+++ b/placer.go
@@ -677,16 +677,16 @@
 		least = 0
 	}
 	keep(least, func(m *machine) bool { return !p.full(t, m) })
+	if p.cfg.Prices.Fleet > 0 && p.cfg.ListsFree {
+		used := p.inUse(left)
+		keep(several, func(m *machine) bool { return used[m] })
+	}
 	keep(several, func(m *machine) bool { return p.now >= m.strained })
 	mean := 0.0
 	for _, m := range left {
 		mean += p.told(m) / float64(len(left))
 	}
 	keep(several, func(m *machine) bool { return p.told(m) < mean+overMean })
-	if p.cfg.Prices.Fleet > 0 && p.cfg.ListsFree {
-		used := p.inUse(left)
-		keep(several, func(m *machine) bool { return used[m] })
-	}
 	home := p.homes(t, left)
 	keep(1, func(m *machine) bool { return home[m] })
 	return left
@@ -739,7 +739,11 @@
 		}
 	}
 	used := map[*machine]bool{}
-	for _, m := range ranked(left, "") {
+	order := ranked(left, "")
+	slices.SortStableFunc(order, func(a, b *machine) int {
+		return cmp.Compare(p.cfg.Kinds[b.Kind].Memory, p.cfg.Kinds[a.Kind].Memory)
+	})
+	for _, m := range order {
 		if cores <= 0 && memory <= 0 && len(used) > several {
 			break
 		}
