--- a/placer.go
+++ b/placer.go
@@ -1,15 +1,13 @@
 package flaxshelf
 
 // Every decision of a scheduler is made in this file; the interface, with its events and actions, is in
-// api.go. Sections: tuned values, state, lifecycle, evidence, bars, replay, answers.
+// api.go. Records are in state.go. Sections: tuned values, lifecycle, evidence, bars, replay, answers.
 //
 // Choosing a machine has three steps, see choose: hard bars that are never relaxed, soft bars that give way
 // in a fixed order, and the replay vote among what is left.
 
 import (
 	"cmp"
-	"fmt"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -40,89 +38,6 @@
 	keepUnseen  = time.Minute // a machine that is gone is remembered this long
 )
 
-// ---- State.
-
-type machine struct {
-	Machine
-	listed    bool // named by a list in this life of the scheduler
-	goneAt    Time
-	offers    []Time // recent offers, kept while the machine may be cold
-	failBar   Time   // no offers until then: it failed, was lost or could not be reached
-	strikes   int
-	failedAt  Time
-	strained  Time // until then: our tasks there are served badly or memory is short
-	fullBar   Time // until then it refuses tasks of fullSize or more
-	fullSize  float64
-	fulls     int     // refusals in a row
-	waiting   int     // our offers there without an answer yet
-	newCores  float64 // asked by our binds since the list's last word
-	newMemory float64
-	load      Load
-	loadAt    Time
-	services  map[string]int // our attempts and tasks there, by service
-	cores     float64        // asked by them
-	memory    float64
-}
-
-type attempt struct {
-	m       *machine
-	sent    Time
-	live    bool // no Ended yet
-	proved  bool // surely never ran
-	done    bool
-	placed  bool
-	history *bind
-}
-
-type task struct {
-	Task
-	class    *Class
-	taken    Time
-	attempts []attempt
-	settled  bool // it has its final answer, or needs none
-	placed   bool
-}
-
-// bind is one replayed offer: what was asked of which machine when, and the life drawn for it.
-type bind struct {
-	m             *machine
-	at            Time
-	class         int
-	cores, memory float64
-	hint          time.Duration
-	off           bool // it left the history
-}
-
-// lifetime is what a class's lives add up to: a censored mean, see meanLife.
-type lifetime struct {
-	seen  time.Duration
-	ended int
-}
-
-// Placer makes the decisions of one scheduler.
-type Placer struct {
-	cfg      Config
-	rng      *rand.Rand
-	now      Time
-	born     Time
-	started  bool
-	out      []Action
-	machines map[string]*machine
-	order    []*machine // by ID
-	tasks    map[string]*task
-	open     []*task // taken, not yet settled, in order of arrival
-	history  []*bind // in order of time
-	lives    []lifetime
-	lag      float64 // smoothed seconds from offer to Placed
-	lagDev   float64
-	wakes    Time // the earliest wake still to come; 0: none
-	askAt    Time // when to subscribe next; 0: not needed
-	askFails int
-	unknown  Class
-	votes    []int
-	sums     []float64
-}
-
 // New makes the Placer of one scheduler. Equal settings, seeds and events give equal actions.
 func New(cfg Config, seed uint64) (*Placer, error) {
 	if err := validate(&cfg); err != nil {
@@ -137,42 +52,6 @@
 	return p, nil
 }
 
-func validate(c *Config) error {
-	c.Schedulers = max(c.Schedulers, 1)
-	for i, k := range c.Kinds {
-		if !(k.Cores > 0) || !(k.Memory > 0) {
-			return fmt.Errorf("flaxshelf: Kinds[%d] (%s): Cores and Memory must be above 0", i, k.Name)
-		}
-	}
-	for i, cl := range c.Classes {
-		switch {
-		case cl.Kind < -1 || cl.Kind >= len(c.Kinds):
-			return fmt.Errorf("flaxshelf: Classes[%d].Kind: no kind %d", i, cl.Kind)
-		case cl.Effect < Safe || cl.Effect > Unsafe:
-			return fmt.Errorf("flaxshelf: Classes[%d].Effect: unknown effect %d", i, cl.Effect)
-		case cl.Effect == Keyed && (cl.Group < OnMachine || cl.Group > Everywhere):
-			return fmt.Errorf("flaxshelf: Classes[%d].Group: a keyed class needs a group", i)
-		case cl.Spread < Nowhere || cl.Spread > InZone:
-			return fmt.Errorf("flaxshelf: Classes[%d].Spread: unknown place %d", i, cl.Spread)
-		case cl.Spread != Nowhere && cl.Most < 1:
-			return fmt.Errorf("flaxshelf: Classes[%d].Most: a spread rule needs 1 or more", i)
-		}
-	}
-	for _, d := range []struct {
-		name string
-		v    time.Duration
-	}{{"Tick", c.Tick}, {"DrainGrace", c.DrainGrace}, {"AskWithin", c.AskWithin}, {"ColdFor", c.ColdFor},
-		{"FallWindow", c.FallWindow}, {"ConnectTimeout", c.ConnectTimeout}} {
-		if d.v < 0 {
-			return fmt.Errorf("flaxshelf: %s: must not be negative", d.name)
-		}
-	}
-	if c.MaxAttempts < 0 {
-		return fmt.Errorf("flaxshelf: MaxAttempts: must not be negative")
-	}
-	return nil
-}
-
 // ---- Lifecycle.
 
 // Step takes what has happened since the last one, in order, and returns what to do now.
@@ -230,15 +109,6 @@
 	}
 }
 
-func (p *Placer) newTask(spec Task) *task {
-	t := &task{Task: spec, class: &p.unknown, taken: p.now}
-	if spec.Class >= 0 && spec.Class < len(p.cfg.Classes) {
-		t.class = &p.cfg.Classes[spec.Class]
-	}
-	p.tasks[spec.ID] = t
-	return t
-}
-
 // running takes over a task that runs: it counts for spread and joins the history as from now.
 func (p *Placer) running(e Running) {
 	if p.tasks[e.Task.ID] != nil {
@@ -251,30 +121,6 @@
 	t.attempts[0].m.waiting--
 }
 
-// occupy books a new attempt of t on m.
-func (p *Placer) occupy(t *task, m *machine) {
-	b := &bind{m: m, at: p.now, class: t.Class, cores: t.Cores, memory: t.Memory, hint: t.Life}
-	p.history = append(p.history, b)
-	t.attempts = append(t.attempts, attempt{m: m, sent: p.now, live: true, history: b})
-	m.services[t.Service]++
-	m.cores += t.Cores
-	m.memory += t.Memory
-	m.newCores += t.Cores
-	m.newMemory += t.Memory
-	m.waiting++
-}
-
-func (p *Placer) machine(id string) *machine {
-	m := p.machines[id]
-	if m == nil {
-		m = &machine{Machine: Machine{ID: id, Kind: -1, State: Out}, goneAt: p.now, services: map[string]int{}}
-		p.machines[id] = m
-		i, _ := slices.BinarySearchFunc(p.order, id, func(m *machine, id string) int { return cmp.Compare(m.ID, id) })
-		p.order = slices.Insert(p.order, i, m)
-	}
-	return m
-}
-
 func (p *Placer) listed(e Listed) {
 	named := make(map[string]bool, len(e.Machines))
 	for _, entry := range e.Machines {
@@ -356,15 +202,6 @@
 	}
 }
 
-// attempt finds an attempt by its number; nil where the module knows of none.
-func (p *Placer) attempt(id string, n int) (*task, *attempt) {
-	t := p.tasks[id]
-	if t == nil || n < 0 || n >= len(t.attempts) {
-		return t, nil
-	}
-	return t, &t.attempts[n]
-}
-
 func (p *Placer) ended(e Ended) {
 	if m := p.machines[e.Machine]; m != nil {
 		p.report(m, e.Load)
@@ -392,27 +229,6 @@
 	p.drop(t)
 }
 
-func (p *Placer) release(t *task, m *machine) {
-	if m.services[t.Service]--; m.services[t.Service] <= 0 {
-		delete(m.services, t.Service)
-	}
-	m.cores -= t.Cores
-	m.memory -= t.Memory
-}
-
-// drop forgets a task that is settled and has no attempt out.
-func (p *Placer) drop(t *task) {
-	if !t.settled {
-		return
-	}
-	for i := range t.attempts {
-		if t.attempts[i].live {
-			return
-		}
-	}
-	delete(p.tasks, t.ID)
-}
-
 // prune keeps the state bounded.
 func (p *Placer) prune() {
 	oldest := p.now - time.Duration(reach*float64(p.longestLife()))
@@ -601,19 +417,6 @@
 	return true
 }
 
-// same tells whether two machines stand in the same place of the given extent.
-func same(at Extent, a, b *machine) bool {
-	switch at {
-	case OnMachine:
-		return a == b
-	case InCell:
-		return a.listed && b.listed && a.Cell == b.Cell
-	case InZone:
-		return a.listed && b.listed && a.Zone == b.Zone
-	}
-	return at == Everywhere
-}
-
 func (p *Placer) spreadLeft(t *task, m *machine) bool {
 	if t.class.Spread == Nowhere {
 		return true
@@ -768,29 +571,6 @@
 	return home
 }
 
-// ranked orders machines by a hash of their ID and salt: an order that schedulers share without talking.
-func ranked(ms []*machine, salt string) []*machine {
-	hash := make(map[*machine]uint64, len(ms))
-	for _, m := range ms {
-		h := fnv.New64a()
-		h.Write([]byte(m.ID))
-		h.Write([]byte(salt))
-		hash[m] = mix(h.Sum64())
-	}
-	ms = slices.Clone(ms)
-	slices.SortFunc(ms, func(a, b *machine) int { return cmp.Compare(hash[a], hash[b]) })
-	return ms
-}
-
-// mix spreads the bits of a hash whose inputs are much alike.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
 // ---- Replay.
 
 // vote replays the history r times from an empty fleet. Each run names the least loaded machine of left now;
@@ -945,20 +725,3 @@
 	}
 	p.drop(t)
 }
-
-func (t *task) inFlight() *attempt {
-	for i := range t.attempts {
-		if t.attempts[i].live {
-			return &t.attempts[i]
-		}
-	}
-	return nil
-}
-
-func (t *task) mayHaveRun() bool {
-	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return !a.proved })
-}
-
-func (t *task) tried(m *machine) bool {
-	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return a.m == m })
-}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,206 @@
+package flaxshelf
+
+// What a Placer keeps of machines, tasks and attempts, and the bookkeeping of it. No decision is made here.
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Placer makes the decisions of one scheduler.
+type Placer struct {
+	cfg      Config
+	rng      *rand.Rand
+	now      Time
+	born     Time
+	started  bool
+	out      []Action
+	machines map[string]*machine
+	order    []*machine // by ID
+	tasks    map[string]*task
+	open     []*task // taken, not yet settled, in order of arrival
+	history  []*bind // in order of time
+	lives    []lifetime
+	lag      float64 // smoothed seconds from offer to Placed
+	lagDev   float64
+	wakes    Time // the earliest wake still to come; 0: none
+	askAt    Time // when to subscribe next; 0: not needed
+	askFails int
+	unknown  Class
+}
+
+type machine struct {
+	Machine
+	listed    bool // named by a list in this life of the scheduler
+	goneAt    Time
+	offers    []Time // recent offers, kept while the machine may be cold
+	failBar   Time   // no offers until then: it failed, was lost or could not be reached
+	strikes   int
+	failedAt  Time
+	strained  Time // until then: our tasks there are served badly or memory is short
+	fullBar   Time // until then it refuses tasks of fullSize or more
+	fullSize  float64
+	fulls     int     // refusals in a row
+	waiting   int     // our offers there without an answer yet
+	newCores  float64 // asked by our binds since the list's last word
+	newMemory float64
+	load      Load
+	loadAt    Time
+	services  map[string]int // our attempts and tasks there, by service
+	cores     float64        // asked by them
+	memory    float64
+}
+
+type attempt struct {
+	m       *machine
+	sent    Time
+	live    bool // no Ended yet
+	proved  bool // surely never ran
+	done    bool
+	placed  bool
+	history *bind
+}
+
+type task struct {
+	Task
+	class    *Class
+	taken    Time
+	attempts []attempt
+	settled  bool // it has its final answer, or needs none
+	placed   bool
+}
+
+// bind is one replayed offer: what was asked of which machine when, and the life drawn for it.
+type bind struct {
+	m             *machine
+	at            Time
+	class         int
+	cores, memory float64
+	hint          time.Duration
+	off           bool // it left the history
+}
+
+// lifetime is what a class's lives add up to: a censored mean, see meanLife.
+type lifetime struct {
+	seen  time.Duration
+	ended int
+}
+
+func (p *Placer) newTask(spec Task) *task {
+	t := &task{Task: spec, class: &p.unknown, taken: p.now}
+	if spec.Class >= 0 && spec.Class < len(p.cfg.Classes) {
+		t.class = &p.cfg.Classes[spec.Class]
+	}
+	p.tasks[spec.ID] = t
+	return t
+}
+
+// attempt finds an attempt by its number; nil where the module knows of none.
+func (p *Placer) attempt(id string, n int) (*task, *attempt) {
+	t := p.tasks[id]
+	if t == nil || n < 0 || n >= len(t.attempts) {
+		return t, nil
+	}
+	return t, &t.attempts[n]
+}
+
+func (p *Placer) machine(id string) *machine {
+	m := p.machines[id]
+	if m == nil {
+		m = &machine{Machine: Machine{ID: id, Kind: -1, State: Out}, goneAt: p.now, services: map[string]int{}}
+		p.machines[id] = m
+		i, _ := slices.BinarySearchFunc(p.order, id, func(m *machine, id string) int { return cmp.Compare(m.ID, id) })
+		p.order = slices.Insert(p.order, i, m)
+	}
+	return m
+}
+
+// occupy books a new attempt of t on m.
+func (p *Placer) occupy(t *task, m *machine) {
+	b := &bind{m: m, at: p.now, class: t.Class, cores: t.Cores, memory: t.Memory, hint: t.Life}
+	p.history = append(p.history, b)
+	t.attempts = append(t.attempts, attempt{m: m, sent: p.now, live: true, history: b})
+	m.services[t.Service]++
+	m.cores += t.Cores
+	m.memory += t.Memory
+	m.newCores += t.Cores
+	m.newMemory += t.Memory
+	m.waiting++
+}
+
+func (p *Placer) release(t *task, m *machine) {
+	if m.services[t.Service]--; m.services[t.Service] <= 0 {
+		delete(m.services, t.Service)
+	}
+	m.cores -= t.Cores
+	m.memory -= t.Memory
+}
+
+// drop forgets a task that is settled and has no attempt out.
+func (p *Placer) drop(t *task) {
+	if !t.settled {
+		return
+	}
+	for i := range t.attempts {
+		if t.attempts[i].live {
+			return
+		}
+	}
+	delete(p.tasks, t.ID)
+}
+
+// same tells whether two machines stand in the same place of the given extent.
+func same(at Extent, a, b *machine) bool {
+	switch at {
+	case OnMachine:
+		return a == b
+	case InCell:
+		return a.listed && b.listed && a.Cell == b.Cell
+	case InZone:
+		return a.listed && b.listed && a.Zone == b.Zone
+	}
+	return at == Everywhere
+}
+
+// ranked orders machines by a hash of their ID and salt: an order that schedulers share without talking.
+func ranked(ms []*machine, salt string) []*machine {
+	hash := make(map[*machine]uint64, len(ms))
+	for _, m := range ms {
+		h := fnv.New64a()
+		h.Write([]byte(m.ID))
+		h.Write([]byte(salt))
+		hash[m] = mix(h.Sum64())
+	}
+	ms = slices.Clone(ms)
+	slices.SortFunc(ms, func(a, b *machine) int { return cmp.Compare(hash[a], hash[b]) })
+	return ms
+}
+
+// mix spreads the bits of a hash whose inputs are much alike.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func (t *task) inFlight() *attempt {
+	for i := range t.attempts {
+		if t.attempts[i].live {
+			return &t.attempts[i]
+		}
+	}
+	return nil
+}
+
+func (t *task) mayHaveRun() bool {
+	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return !a.proved })
+}
+
+func (t *task) tried(m *machine) bool {
+	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return a.m == m })
+}
