--- a/api.go
+++ b/api.go
@@ -40,7 +40,7 @@
 	Worth        float64       // of one second of full service
 	LateWorth    float64       // share of a start's worth after the aim
 	StartSeconds float64       // seconds of service that a start in time is worth
-	Calm, Fade   float64       // served in full while the cores are busy up to Calm, not at all from Calm+Fade
+	Calm, Fade   float64       // served in full up to Calm of the cores busy, not at all from Calm+Fade
 	Kind         int           // index of the machine kind that it needs, or -1
 	Priority     int
 	Spread       Extent // Nowhere, OnMachine, InCell or InZone
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,31 @@
+package flaxshelf_test
+
+import (
+	"fmt"
+	"time"
+
+	"flaxshelf.example/flaxshelf"
+)
+
+// A scheduler hears of one machine and is asked to place one task.
+func Example() {
+	p, err := flaxshelf.New(flaxshelf.Config{
+		Kinds:   []flaxshelf.Kind{{Name: "small", Cores: 16, Memory: 64}},
+		Classes: []flaxshelf.Class{{Name: "web", Effect: flaxshelf.Safe, Aim: time.Second, Kind: -1}},
+	}, 1)
+	if err != nil {
+		panic(err)
+	}
+	actions := p.Step(time.Second, []flaxshelf.Event{
+		flaxshelf.Listed{Whole: true, Machines: []flaxshelf.Machine{{ID: "m1", Kind: 0}}},
+		flaxshelf.Place{Task: flaxshelf.Task{
+			ID: "t1", Service: "shop", Cores: 1, Memory: 2, ValidUntil: 6 * time.Second,
+		}},
+	})
+	for _, a := range actions {
+		if o, ok := a.(flaxshelf.Offer); ok {
+			fmt.Println("offer", o.Task, "to", o.Machine)
+		}
+	}
+	// Output: offer t1 to m1
+}
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -245,8 +245,10 @@
 		}
 		item.Event = flaxshelf.Message{From: int(f.int("neighbour", true)), Data: b}
 	},
-	"WAKEUP":  func(r *Reader, f *fields, item *Item) { item.Event = flaxshelf.Woken{} },
-	"ABORTED": func(r *Reader, f *fields, item *Item) { item.Event = flaxshelf.Gone{Task: f.text("tid", true)} },
+	"WAKEUP": func(r *Reader, f *fields, item *Item) { item.Event = flaxshelf.Woken{} },
+	"ABORTED": func(r *Reader, f *fields, item *Item) {
+		item.Event = flaxshelf.Gone{Task: f.text("tid", true)}
+	},
 }
 
 // fields are the name=value pairs of a line; the first fault is kept in err.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -46,7 +46,8 @@
 func settings(f *fields) (flaxshelf.Config, *names) {
 	n := &names{class: map[string]int{}, kind: map[string]int{}, tenant: map[string]int{}}
 	c := flaxshelf.Config{
-		Index: int(f.int("index", false)), Schedulers: int(f.int("balancers", false)), Zone: f.text("zone", false),
+		Index: int(f.int("index", false)), Schedulers: int(f.int("balancers", false)),
+		Zone:           f.text("zone", false),
 		OverShareWorth: f.num("over_share_worth", false),
 		AcceptCores:    f.num("specifics.admit_cores", false),
 		AcceptMemory:   f.num("specifics.memory_multiple", false),
@@ -88,8 +89,9 @@
 		spread := f.list("specifics.spread_over")
 		class := flaxshelf.Class{
 			Name: f.text(at("name"), true), Effect: lookup(f, at("effect"), effects, flaxshelf.Unsafe),
-			Group: lookup(f, at("key_scope"), extents, flaxshelf.Everywhere), Window: f.dur(at("key_ttl_ns"), false),
-			Aim: f.dur(at("objective_ns"), false), Worth: f.num(at("worth"), false),
+			Group:  lookup(f, at("key_scope"), extents, flaxshelf.Everywhere),
+			Window: f.dur(at("key_ttl_ns"), false),
+			Aim:    f.dur(at("objective_ns"), false), Worth: f.num(at("worth"), false),
 			LateWorth:    f.num(at("late_worth"), false),
 			StartSeconds: f.nth("specifics.start_seconds", i, 0),
 			Calm:         f.nth("specifics.class_calm", i, 1), Fade: f.nth("specifics.fade_span", i, 1),
--- a/placer.go
+++ b/placer.go
@@ -410,7 +410,8 @@
 		if a.proved || t.class.Effect == Safe {
 			continue
 		}
-		if t.class.Effect != Keyed || !same(t.class.Group, a.m, m) || p.now+p.cfg.Tick >= a.sent+t.class.Window {
+		late := p.now+p.cfg.Tick >= a.sent+t.class.Window
+		if t.class.Effect != Keyed || !same(t.class.Group, a.m, m) || late {
 			return false
 		}
 	}
--- /dev/null
+++ b/placer_test.go
@@ -0,0 +1,435 @@
+package flaxshelf
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// config is a plain setting that tests change to taste.
+func config() Config {
+	return Config{
+		Schedulers: 1, Zone: "a", Kinds: []Kind{{"k", 32, 100}}, AcceptCores: 2, AcceptMemory: 1.5,
+		Classes:     []Class{{Name: "c", Effect: Safe, Aim: time.Second, Kind: -1}},
+		MaxAttempts: 3, CanWithdraw: true, Tick: 2 * ms, FallWindow: time.Second, ColdFor: 10 * time.Second,
+		ColdOffers: 12, AskWithin: 10 * time.Second,
+	}
+}
+
+func fleet(n int) []Machine {
+	var ms []Machine
+	for i := range n {
+		ms = append(ms, Machine{ID: fmt.Sprintf("m%d", i), Zone: "a", Cell: i / 2})
+	}
+	return ms
+}
+
+func start(t *testing.T, c Config, machines []Machine) *Placer {
+	t.Helper()
+	p, err := New(c, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Step(time.Second, []Event{Listed{Whole: true, Machines: machines}})
+	return p
+}
+
+func ask(id string, class int, until Time) Place {
+	return Place{Task{ID: id, Service: "s", Class: class, Cores: 1, Memory: 1, ValidUntil: until, Tenant: -1}}
+}
+
+// offers lists the offers among actions.
+func offers(as []Action) (out []Offer) {
+	for _, a := range as {
+		if o, ok := a.(Offer); ok {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func one(t *testing.T, as []Action) Offer {
+	t.Helper()
+	os := offers(as)
+	if len(os) != 1 {
+		t.Fatalf("want one offer, got %v", as)
+	}
+	return os[0]
+}
+
+func has(as []Action, want Action) bool { return slices.Contains(as, want) }
+
+func TestNewNamesTheField(t *testing.T) {
+	for _, c := range []struct {
+		want   string
+		change func(*Config)
+	}{
+		{"flaxshelf: Kinds[0] (k): Cores and Memory must be above 0", func(c *Config) { c.Kinds[0].Cores = 0 }},
+		{"flaxshelf: Classes[0].Kind: no kind 3", func(c *Config) { c.Classes[0].Kind = 3 }},
+		{"flaxshelf: Classes[0].Effect: unknown effect 9", func(c *Config) { c.Classes[0].Effect = 9 }},
+		{"flaxshelf: Classes[0].Group: a keyed class needs a group", func(c *Config) { c.Classes[0].Effect = Keyed }},
+		{"flaxshelf: Classes[0].Most: a spread rule needs 1 or more", func(c *Config) { c.Classes[0].Spread = InZone }},
+		{"flaxshelf: Tick: must not be negative", func(c *Config) { c.Tick = -1 }},
+		{"flaxshelf: MaxAttempts: must not be negative", func(c *Config) { c.MaxAttempts = -1 }},
+	} {
+		cfg := config()
+		c.change(&cfg)
+		if _, err := New(cfg, 1); err == nil || err.Error() != c.want {
+			t.Errorf("got %v, want %s", err, c.want)
+		}
+	}
+}
+
+// Second rule: what may follow each outcome, for each kind of class.
+func TestAfterAnOutcome(t *testing.T) {
+	groups := []Machine{{ID: "m0", Zone: "a"}, {ID: "m1", Zone: "a"}, {ID: "m2", Zone: "b", Cell: 1}}
+	for _, effect := range []Effect{Safe, Keyed, Unsafe} {
+		for v := Finished + 1; v <= NotSent; v++ {
+			c := config()
+			c.Classes[0].Effect, c.Classes[0].Group, c.Classes[0].Window = effect, InZone, 2*time.Second
+			p := start(t, c, groups)
+			first := one(t, p.Step(time.Second, []Event{ask("t", 0, 9*time.Second)}))
+			as := p.Step(time.Second+ms, []Event{Ended{Task: "t", Machine: first.Machine, Verdict: v}})
+			proved := v == Refused || v == Unreachable || v == NotSent
+			next := offers(as)
+			zone := func(id string) string { return p.machines[id].Zone }
+			switch {
+			case proved || effect == Safe:
+				if len(next) != 1 || next[0].Machine == first.Machine {
+					t.Errorf("effect %d, verdict %d: want another machine, got %v", effect, v, as)
+				}
+			case effect == Unsafe:
+				if len(next) != 0 || !has(as, Fail{"t"}) {
+					t.Errorf("unsafe, verdict %d: want a failure, got %v", v, as)
+				}
+			default:
+				if len(next) > 1 || len(next) == 1 && zone(next[0].Machine) != zone(first.Machine) {
+					t.Errorf("keyed, verdict %d: left the group: %v", v, as)
+				}
+				if has(as, Refuse{"t"}) {
+					t.Errorf("keyed, verdict %d: refused though it may have run", v)
+				}
+			}
+		}
+	}
+}
+
+func TestKeyWindowEnds(t *testing.T) {
+	c := config()
+	c.Classes[0].Effect, c.Classes[0].Group, c.Classes[0].Window = Keyed, Everywhere, 500*ms
+	p := start(t, c, fleet(4))
+	o := one(t, p.Step(time.Second, []Event{ask("t", 0, 9*time.Second)}))
+	as := p.Step(time.Second+500*ms, []Event{Ended{Task: "t", Machine: o.Machine, Verdict: TimedOut}})
+	if len(offers(as)) != 0 || !has(as, Refuse{"t"}) {
+		t.Errorf("window over, group everywhere: want a refusal, got %v", as)
+	}
+}
+
+// Third rule.
+func TestDrainingAndGoneMachinesAreBarredAtOnce(t *testing.T) {
+	for _, s := range []State{Draining, Out} {
+		p := start(t, config(), fleet(2))
+		as := p.Step(2*time.Second, []Event{
+			Listed{Machines: []Machine{{ID: "m0", Zone: "a", State: s}}}, ask("t", 0, 9*time.Second)})
+		if o := one(t, as); o.Machine != "m1" {
+			t.Errorf("state %d: offered to %s", s, o.Machine)
+		}
+	}
+	p := start(t, config(), fleet(2))
+	as := p.Step(2*time.Second, []Event{Listed{Whole: true, Machines: fleet(1)}, ask("t", 0, 9*time.Second)})
+	if o := one(t, as); o.Machine != "m0" {
+		t.Errorf("absent from a whole list: offered to %s", o.Machine)
+	}
+}
+
+// Fourth rule: this scheduler's share of the always-safe offers, unanswered ones counted.
+func TestColdMachineGetsItsShare(t *testing.T) {
+	c := config()
+	c.Schedulers, c.ColdOffers = 3, 12
+	p := start(t, c, nil)
+	now := 10 * time.Second
+	events := []Event{Listed{Machines: []Machine{{ID: "new", Zone: "a", Started: now - ms}}}}
+	for i := range 20 {
+		events = append(events, ask(fmt.Sprint("t", i), 0, now+5*time.Second))
+	}
+	if n := len(offers(p.Step(now, events))); n != 4 {
+		t.Errorf("offers at once: %d, want 12/3", n)
+	}
+	if n := len(offers(p.Step(now+900*ms, []Event{Woken{}}))); n != 0 {
+		t.Errorf("within the window: %d more", n)
+	}
+	if n := len(offers(p.Step(now+1600*ms, []Event{Woken{}}))); n != 4 {
+		t.Errorf("after the window: %d, want 4", n)
+	}
+}
+
+// Fourth rule: a restarted scheduler can't know what it sent, so its share counts as spent.
+func TestColdShareIsSpentAfterOwnStart(t *testing.T) {
+	p, _ := New(config(), 1)
+	now := 10 * time.Second
+	as := p.Step(now, []Event{
+		Listed{Whole: true, Stale: true, Machines: []Machine{{ID: "new", Zone: "a", Started: now - time.Second}}},
+		ask("t", 0, now+5*time.Second)})
+	if len(offers(as)) != 0 {
+		t.Fatalf("offered to a cold machine right after the start: %v", as)
+	}
+	one(t, p.Step(now+1600*ms, []Event{Woken{}}))
+}
+
+// Fifth rule: attempts, placed tasks and tasks told as running all count.
+func TestSpread(t *testing.T) {
+	for _, at := range []Extent{OnMachine, InCell, InZone} {
+		c := config()
+		c.Classes[0].Spread, c.Classes[0].Most = at, 2
+		p := start(t, c, []Machine{{ID: "m0", Zone: "a"}, {ID: "m1", Zone: "b", Cell: 1}})
+		events := []Event{Running{ask("r", 0, 0).Task, "m0"}}
+		for i := range 6 {
+			events = append(events, ask(fmt.Sprint("t", i), 0, 9*time.Second))
+		}
+		count := map[string]int{"m0": 1}
+		for _, o := range offers(p.Step(2*time.Second, events)) {
+			count[o.Machine]++
+		}
+		if count["m0"] != 2 || count["m1"] != 2 {
+			t.Errorf("extent %d: %v", at, count)
+		}
+		as := p.Step(3*time.Second, []Event{Ended{Task: "r", Machine: "m0", Verdict: Finished, Done: true}})
+		if o := one(t, as); o.Machine != "m0" {
+			t.Errorf("extent %d: the freed place went to %s", at, o.Machine)
+		}
+	}
+}
+
+// First rule: every open task is answered before its owner gives up, whatever is missing.
+func TestAnswersInTime(t *testing.T) {
+	for _, n := range []int{0, 1} { // no machine at all; one that never answers
+		p := start(t, config(), fleet(n))
+		until := 4 * time.Second
+		as := p.Step(time.Second, []Event{ask("t", 0, until)})
+		for i := 0; i < 1000; i++ {
+			w := slices.IndexFunc(as, func(a Action) bool { _, ok := a.(Wake); return ok })
+			if w < 0 {
+				t.Fatalf("%d machines: no wake while a task is open", n)
+			}
+			now := p.now + as[w].(Wake).After
+			as = p.Step(now, []Event{Woken{}})
+			if has(as, Refuse{"t"}) {
+				if now >= until {
+					t.Errorf("%d machines: answered at %v", n, now)
+				}
+				break
+			}
+			if now > until {
+				t.Fatalf("%d machines: no answer", n)
+			}
+		}
+		if len(p.open) != 0 {
+			t.Errorf("%d machines: still open", n)
+		}
+	}
+}
+
+func TestAttemptsAreLimited(t *testing.T) {
+	p := start(t, config(), fleet(9))
+	as := p.Step(time.Second, []Event{ask("t", 0, 9*time.Second)})
+	for i := range 3 {
+		o := one(t, as)
+		as = p.Step(time.Second+Time(i+1)*ms, []Event{Ended{Task: "t", Machine: o.Machine, Attempt: i, Verdict: Unreachable}})
+	}
+	if len(offers(as)) != 0 || !has(as, Refuse{"t"}) {
+		t.Errorf("after three attempts: %v", as)
+	}
+}
+
+// Odd events: no action, no crash.
+func TestUnknownThingsAreIgnored(t *testing.T) {
+	p := start(t, config(), fleet(2))
+	as := p.Step(2*time.Second, []Event{
+		Ended{Task: "x", Machine: "y"}, Placed{Task: "x"}, Note{Task: "x", Kind: 99}, Gone{"x"},
+		Probed{Machine: "y"}, Message{From: 3}, Woken{}, Ended{Task: "t", Machine: "m0", Attempt: -1}})
+	if len(as) != 0 {
+		t.Errorf("got %v", as)
+	}
+	as = p.Step(2*time.Second, []Event{ask("odd", 77, 9*time.Second)})
+	if !has(as, Refuse{"odd"}) {
+		t.Errorf("unknown class: %v", as)
+	}
+}
+
+func TestDiscoveryIsAskedAgainAfterErrors(t *testing.T) {
+	c := config()
+	c.DiscoveryAsks = true
+	p, _ := New(c, 1)
+	as := p.Step(time.Second, []Event{Listed{Whole: true, Stale: true, Machines: fleet(1)}})
+	if !has(as, Subscribe{}) {
+		t.Fatalf("no subscription at the start: %v", as)
+	}
+	now, calls := time.Second, 0
+	for range 20 {
+		p.Step(now+ms, []Event{ListFailed{}})
+		for now += 10 * ms; ; now += 10 * ms {
+			if has(p.Step(now, []Event{Woken{}}), Subscribe{}) {
+				calls++
+				break
+			}
+			if now > time.Minute {
+				t.Fatal("never asked again")
+			}
+		}
+	}
+	if calls != 20 || now > 60*time.Second || now < 10*time.Second {
+		t.Errorf("%d calls in %v", calls, now)
+	}
+}
+
+// By hand: each machine's survival chance is 1 or 0, so every run names the one without a living task.
+func TestVoteByHand(t *testing.T) {
+	p := start(t, config(), fleet(3))
+	p.now = 10 * time.Second
+	for i, hint := range []time.Duration{20 * time.Second, time.Second, 20 * time.Second} {
+		p.history = append(p.history, &bind{m: p.order[i], at: 5 * time.Second, cores: 4, memory: 1, hint: hint})
+	}
+	for range 50 {
+		if m := p.vote(p.order); m.ID != "m1" {
+			t.Fatalf("named %s, though only m1's task has ended", m.ID)
+		}
+	}
+}
+
+// The larger of the cores and memory shares is the load.
+func TestVoteTakesTheLargerShare(t *testing.T) {
+	p := start(t, config(), fleet(2))
+	p.now = 10 * time.Second
+	p.history = []*bind{
+		{m: p.order[0], at: p.now, cores: 1, memory: 50, hint: time.Hour},
+		{m: p.order[1], at: p.now, cores: 8, memory: 1, hint: time.Hour},
+	}
+	if m := p.vote(p.order); m.ID != "m1" {
+		t.Errorf("named %s", m.ID)
+	}
+}
+
+// Ties go at random: an empty history spreads evenly.
+func TestVoteTies(t *testing.T) {
+	p := start(t, config(), fleet(4))
+	count := map[string]int{}
+	for range 4000 {
+		count[p.vote(p.order).ID]++
+	}
+	for id, n := range count {
+		if n < 850 || n > 1150 {
+			t.Errorf("%s named %d times of 4000", id, n)
+		}
+	}
+}
+
+// Exponential lives: a bind of age a is alive in a share exp(-a/mean) of the runs.
+func TestDrawnLives(t *testing.T) {
+	p := start(t, config(), fleet(2))
+	p.now = 70 * time.Second
+	b := &bind{m: p.order[0], at: 10 * time.Second}
+	if got := p.alive(b); math.Abs(got-math.Exp(-1)) > 1e-9 {
+		t.Errorf("alive %v after one first mean life", got)
+	}
+	p.lives[0] = lifetime{seen: 180 * time.Second, ended: 3}
+	if m := p.meanLife(0); m != 60*time.Second {
+		t.Errorf("mean life %v, want (180+60)/4", m)
+	}
+}
+
+func TestRefusedBindsLeaveTheHistory(t *testing.T) {
+	p := start(t, config(), fleet(2))
+	o := one(t, p.Step(time.Second, []Event{ask("t", 0, 9*time.Second)}))
+	p.Step(time.Second+ms, []Event{Ended{Task: "t", Machine: o.Machine, Verdict: Refused, Reason: NoCores}})
+	if len(p.history) != 1 || p.history[0].m.ID == o.Machine {
+		t.Errorf("history %v", p.history)
+	}
+}
+
+// A machine that started anew doesn't keep the replayed tasks of its former life.
+func TestRestartedMachineIsForgotten(t *testing.T) {
+	p := start(t, config(), fleet(1))
+	o := one(t, p.Step(time.Second, []Event{ask("t", 0, 9*time.Second)}))
+	p.Step(2*time.Second, []Event{Placed{Task: "t", Machine: o.Machine}})
+	p.Step(9*time.Second, []Event{Listed{Machines: []Machine{{ID: "m0", Zone: "a", Started: 8 * time.Second}}}})
+	if len(p.history) != 0 {
+		t.Errorf("history %v", p.history)
+	}
+}
+
+// Incident i4c1909: while the list tells no room anywhere, tasks are held, then tried once at last.
+func TestHeldWhileNoRoomIsTold(t *testing.T) {
+	c := config()
+	c.ListsFree = true
+	full := []Machine{{ID: "m0", Zone: "a", FreeCores: -32, FreeMemory: -50}}
+	p := start(t, c, full)
+	if as := p.Step(time.Second, []Event{ask("t", 0, 5*time.Second)}); len(offers(as)) != 0 {
+		t.Fatalf("offered to a full machine: %v", as)
+	}
+	one(t, p.Step(4100*ms, []Event{Woken{}}))
+	p = start(t, c, full)
+	p.Step(time.Second, []Event{ask("t", 0, 5*time.Second)})
+	full[0].FreeCores, full[0].FreeMemory = 10, 10
+	one(t, p.Step(2*time.Second, []Event{Listed{Machines: full}}))
+}
+
+// After a refusal or failure one offer finds out whether a machine has recovered, without a rush onto it.
+func TestOneOfferFindsOut(t *testing.T) {
+	for _, v := range []Verdict{Refused, Failed} {
+		p := start(t, config(), fleet(1))
+		o := one(t, p.Step(time.Second, []Event{ask("t", 0, 2*time.Second)}))
+		p.Step(time.Second+ms, []Event{Ended{Task: "t", Machine: o.Machine, Verdict: v, Done: true, Reason: NoCores}})
+		now := 4 * time.Second
+		m := p.order[0]
+		held := func() bool { return p.full(&task{Task: ask("x", 0, 0).Task}, m) || p.failing(m) }
+		if p.now = now; held() {
+			t.Fatalf("verdict %d: still barred after its time", v)
+		}
+		m.waiting = 1
+		if !held() {
+			t.Errorf("verdict %d: a second offer at once", v)
+		}
+	}
+}
+
+// Bad evidence never stops placing: with every machine failing, offers go on.
+func TestFailuresEverywhereBarNobody(t *testing.T) {
+	p := start(t, config(), fleet(4))
+	for _, m := range p.order {
+		p.strike(m)
+	}
+	one(t, p.Step(time.Second+ms, []Event{ask("t", 0, 9*time.Second)}))
+}
+
+func TestOneFailingMachineIsAvoided(t *testing.T) {
+	p := start(t, config(), fleet(4))
+	p.strike(p.order[2])
+	for i := range 40 {
+		as := p.Step(time.Second+ms, []Event{ask(fmt.Sprint("t", i), 0, 9*time.Second)})
+		if o := one(t, as); o.Machine == "m2" {
+			t.Fatal("offered to the failing machine")
+		}
+	}
+}
+
+// State stays bounded.
+func TestStateIsBounded(t *testing.T) {
+	p := start(t, config(), fleet(3))
+	now := time.Second
+	for i := range 5000 {
+		now += 20 * ms
+		id := fmt.Sprint("t", i)
+		for _, o := range offers(p.Step(now, []Event{ask(id, 0, now+5*time.Second)})) {
+			p.Step(now, []Event{Placed{Task: o.Task, Machine: o.Machine}})
+			p.Step(now, []Event{Ended{Task: o.Task, Machine: o.Machine, Verdict: Finished, Done: true}})
+		}
+		p.Step(now, []Event{Listed{Whole: true, Machines: append(fleet(3), Machine{ID: fmt.Sprint("x", i/50)})}})
+	}
+	if len(p.history) > maxHistory || len(p.tasks) > 10 || len(p.order) > 100 {
+		t.Errorf("history %d, tasks %d, machines %d", len(p.history), len(p.tasks), len(p.order))
+	}
+}
--- /dev/null
+++ b/rules_test.go
@@ -0,0 +1,322 @@
+package flaxshelf
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// checker follows a run from the outside, by events and actions alone, and checks the five rules. It shares
+// no bookkeeping with the module.
+type checker struct {
+	t     *testing.T
+	c     Config
+	now   Time
+	born  Time
+	mach  map[string]Machine
+	told  map[string]Time // since when a machine is known to drain or be gone
+	asks  map[string]*asked
+	sends map[string][]Time
+}
+
+type asked struct {
+	task     Task
+	answered bool
+	tries    []try
+}
+
+type try struct {
+	machine       string
+	at            Time
+	live, mayHave bool
+}
+
+func (k *checker) event(e Event) {
+	switch e := e.(type) {
+	case Listed:
+		seen := map[string]bool{}
+		for _, m := range e.Machines {
+			seen[m.ID] = true
+			k.mach[m.ID] = m
+			if m.State == In {
+				delete(k.told, m.ID)
+			} else if _, ok := k.told[m.ID]; !ok {
+				k.told[m.ID] = k.now
+			}
+		}
+		for id := range k.mach {
+			if _, ok := k.told[id]; e.Whole && !seen[id] && !ok {
+				k.told[id] = k.now
+			}
+		}
+	case Place:
+		k.asks[e.Task.ID] = &asked{task: e.Task}
+	case Running:
+		k.asks[e.Task.ID] = &asked{task: e.Task, answered: true,
+			tries: []try{{machine: e.Machine, at: k.now, live: true, mayHave: true}}}
+	case Placed:
+		k.asks[e.Task].answered = true
+	case Ended:
+		a := k.asks[e.Task]
+		tr := &a.tries[e.Attempt]
+		tr.live = false
+		tr.mayHave = e.Verdict != Refused && e.Verdict != Unreachable && e.Verdict != NotSent
+		a.answered = a.answered || e.Done
+	}
+}
+
+func (k *checker) action(x Action) {
+	switch x := x.(type) {
+	case Offer:
+		k.offer(x)
+	case Refuse:
+		a := k.asks[x.Task]
+		cl := k.c.Classes[a.task.Class]
+		for _, tr := range a.tries {
+			if tr.mayHave && (cl.Effect == Unsafe || cl.Effect == Keyed && cl.Group != Everywhere) {
+				k.t.Errorf("%v: refused %s, which may have run", k.now, x.Task)
+			}
+		}
+		k.answer(x.Task)
+	case Fail:
+		k.answer(x.Task)
+	}
+}
+
+func (k *checker) answer(id string) {
+	a := k.asks[id]
+	if a.answered {
+		k.t.Errorf("%v: second answer for %s", k.now, id)
+	}
+	if k.now >= a.task.ValidUntil {
+		k.t.Errorf("%v: %s answered after %v", k.now, id, a.task.ValidUntil)
+	}
+	a.answered = true
+}
+
+func (k *checker) place(at Extent, m string) string {
+	switch at {
+	case OnMachine:
+		return m
+	case InCell:
+		return fmt.Sprint("cell", k.mach[m].Cell)
+	case InZone:
+		return "zone" + k.mach[m].Zone
+	}
+	return ""
+}
+
+func (k *checker) offer(o Offer) {
+	a := k.asks[o.Task]
+	cl := k.c.Classes[a.task.Class]
+	m, ok := k.mach[o.Machine]
+	if !ok {
+		k.t.Errorf("%v: offer to unlisted %s", k.now, o.Machine)
+	}
+	if a.answered || k.now >= a.task.ValidUntil {
+		k.t.Errorf("%v: offer for %s after its end", k.now, o.Task)
+	}
+	if k.now+o.Timeout > a.task.ValidUntil {
+		k.t.Errorf("%v: time-out of %s runs past its end", k.now, o.Task)
+	}
+	if since, ok := k.told[o.Machine]; ok && k.now-since >= 0 {
+		k.t.Errorf("%v: offer to %s, told as stopping at %v", k.now, o.Machine, since)
+	}
+	if cl.Kind >= 0 && cl.Kind != m.Kind {
+		k.t.Errorf("%v: wrong kind for %s", k.now, o.Task)
+	}
+	if len(a.tries) >= k.c.MaxAttempts {
+		k.t.Errorf("%v: too many attempts of %s", k.now, o.Task)
+	}
+	for _, tr := range a.tries {
+		if tr.live {
+			k.t.Errorf("%v: two attempts of %s out", k.now, o.Task)
+		}
+		if !tr.mayHave || cl.Effect == Safe {
+			continue
+		}
+		if cl.Effect == Unsafe || k.place(cl.Group, tr.machine) != k.place(cl.Group, o.Machine) ||
+			k.now-tr.at >= cl.Window {
+			k.t.Errorf("%v: %s may have run, sent again to %s", k.now, o.Task, o.Machine)
+		}
+	}
+	a.tries = append(a.tries, try{machine: o.Machine, at: k.now, live: true, mayHave: true})
+	k.checkSpread(o, a, cl)
+	k.checkCold(o, m)
+}
+
+func (k *checker) checkSpread(o Offer, a *asked, cl Class) {
+	if cl.Spread == Nowhere {
+		return
+	}
+	n := 0
+	for _, b := range k.asks {
+		for _, tr := range b.tries {
+			if tr.live && b.task.Service == a.task.Service &&
+				k.place(cl.Spread, tr.machine) == k.place(cl.Spread, o.Machine) {
+				n++
+			}
+		}
+	}
+	if n > cl.Most {
+		k.t.Errorf("%v: %d tasks of %s together", k.now, n, a.task.Service)
+	}
+}
+
+func (k *checker) checkCold(o Offer, m Machine) {
+	if m.Started == 0 || k.now > m.Started+k.c.ColdFor {
+		return
+	}
+	if k.born > m.Started && k.now < k.born+k.c.FallWindow {
+		k.t.Errorf("%v: offer to cold %s with an unknown budget", k.now, o.Machine)
+	}
+	k.sends[o.Machine] = append(k.sends[o.Machine], k.now)
+	n := 0
+	for _, at := range k.sends[o.Machine] {
+		if at >= m.Started && k.now-at <= k.c.FallWindow {
+			n++
+		}
+	}
+	if float64(n) > k.c.ColdOffers/float64(k.c.Schedulers) {
+		k.t.Errorf("%v: %d offers to cold %s", k.now, n, o.Machine)
+	}
+}
+
+// settings draws a deployment.
+func settings(r *rand.Rand) Config {
+	c := config()
+	c.Schedulers = 1 + r.IntN(4)
+	c.Kinds = []Kind{{"small", 16, 50}, {"big", 64, 200}}
+	c.ColdOffers = float64(5 + r.IntN(30))
+	c.DiscoveryAsks, c.ListsFree, c.CanWithdraw = r.IntN(2) == 0, r.IntN(2) == 0, r.IntN(2) == 0
+	c.Prices = Prices{CrossZone: float64(r.IntN(2)), Fleet: float64(r.IntN(2))}
+	c.Classes = nil
+	for _, e := range []Effect{Safe, Keyed, Keyed, Unsafe} {
+		c.Classes = append(c.Classes, Class{Name: fmt.Sprint(len(c.Classes)), Effect: e,
+			Group: OnMachine + Extent(r.IntN(4)), Window: time.Duration(1+r.IntN(4)) * 500 * ms,
+			Aim: 300 * ms, Kind: r.IntN(3) - 1, Priority: r.IntN(3),
+			Spread: Extent(r.IntN(4)), Most: 1 + r.IntN(3)})
+	}
+	return c
+}
+
+// world draws legal events: it answers offers, moves the machine list and asks for tasks.
+type world struct {
+	r   *rand.Rand
+	k   *checker
+	out []pending
+	ids int
+}
+
+type pending struct {
+	task, machine string
+	attempt       int
+	due           Time
+	placed        bool
+}
+
+func (w *world) events() (es []Event) {
+	k, r := w.k, w.r
+	for i := 0; i < len(w.out); i++ {
+		if p := &w.out[i]; k.now >= p.due {
+			a := k.asks[p.task]
+			if !p.placed && !a.answered && r.IntN(3) > 0 {
+				es = append(es, Placed{Task: p.task, Machine: p.machine, Attempt: p.attempt, Lag: 20 * ms})
+				p.placed, p.due = true, k.now+time.Duration(r.IntN(4000))*ms
+				continue
+			}
+			v := Verdict(1 + r.IntN(7))
+			if p.placed {
+				v = []Verdict{Finished, Lost}[r.IntN(2)]
+			}
+			es = append(es, Ended{Task: p.task, Machine: p.machine, Attempt: p.attempt, Verdict: v,
+				Done: a.answered || p.placed, Reason: Reason(r.IntN(5)),
+				Load: Load{Told: r.IntN(2) == 0, HasCores: true, FreeCores: float64(r.IntN(20))}})
+			w.out = append(w.out[:i], w.out[i+1:]...)
+			i--
+		}
+	}
+	for range r.IntN(4) {
+		w.ids++
+		es = append(es, Place{Task{ID: fmt.Sprint("t", w.ids), Service: fmt.Sprint("s", r.IntN(3)),
+			Class: r.IntN(4), Cores: 1, Memory: 2, Tenant: -1,
+			ValidUntil: k.now + time.Duration(1+r.IntN(3000))*ms}})
+	}
+	if r.IntN(6) == 0 {
+		m := Machine{ID: fmt.Sprint("m", r.IntN(8)), Kind: r.IntN(2), State: State(r.IntN(3))}
+		m.Zone, m.Cell = "z"+m.ID[1:2], int(m.ID[1])%3
+		if old, ok := k.mach[m.ID]; ok {
+			m.Kind, m.Started = old.Kind, old.Started
+		}
+		if m.State == In && r.IntN(2) == 0 {
+			m.Started = k.now
+		}
+		es = append(es, Listed{Machines: []Machine{m}, Whole: r.IntN(30) == 0})
+	}
+	if r.IntN(40) == 0 {
+		es = append(es, ListFailed{})
+	}
+	return es
+}
+
+// Many drawn event sequences keep the rules, and equal sequences give equal actions.
+func TestRulesUnderDrawnEvents(t *testing.T) {
+	offered, failed := 0, 0
+	for seed := range uint64(60) {
+		var logs [2]string
+		for again := range logs {
+			r := rand.New(rand.NewPCG(seed, 5))
+			c := settings(r)
+			k := &checker{t: t, c: c, mach: map[string]Machine{}, told: map[string]Time{},
+				asks: map[string]*asked{}, sends: map[string][]Time{}, now: time.Second, born: time.Second}
+			w := &world{r: r, k: k}
+			p, err := New(c, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			first := []Event{Listed{Whole: true, Stale: true, Machines: []Machine{
+				{ID: "m0", Zone: "z0"}, {ID: "m1", Zone: "z1", Cell: 1, Kind: 1}}}}
+			for n := range 800 {
+				es := first
+				if n > 0 {
+					es = append(w.events(), Woken{})
+				}
+				first = nil
+				for _, e := range es {
+					k.event(e)
+				}
+				for _, a := range p.Step(k.now, es) {
+					logs[again] += fmt.Sprint(k.now, a)
+					k.action(a)
+					if o, ok := a.(Offer); ok {
+						offered++
+						tries := len(k.asks[o.Task].tries) - 1
+						w.out = append(w.out, pending{task: o.Task, machine: o.Machine, attempt: tries,
+							due: k.now + time.Duration(r.IntN(int(o.Timeout/ms)+1))*ms})
+					}
+					if _, ok := a.(Fail); ok {
+						failed++
+					}
+				}
+				for id, a := range k.asks {
+					if !a.answered && k.now >= a.task.ValidUntil && a.task.ValidUntil > time.Second {
+						if a.task.ValidUntil-k.now < -12*ms {
+							t.Fatalf("seed %d: %s has no answer", seed, id)
+						}
+					}
+				}
+				k.now += time.Duration(1+r.IntN(4)) * 2 * ms
+			}
+		}
+		if logs[0] != logs[1] {
+			t.Fatalf("seed %d: equal events, different actions", seed)
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	if offered < 10000 || failed < 100 {
+		t.Errorf("%d offers, %d failures: the drawn events exercise too little", offered, failed)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -110,9 +110,11 @@
 func (p *Placer) machine(id string) *machine {
 	m := p.machines[id]
 	if m == nil {
-		m = &machine{Machine: Machine{ID: id, Kind: -1, State: Out}, goneAt: p.now, services: map[string]int{}}
+		m = &machine{goneAt: p.now, services: map[string]int{}}
+		m.Machine = Machine{ID: id, Kind: -1, State: Out}
 		p.machines[id] = m
-		i, _ := slices.BinarySearchFunc(p.order, id, func(m *machine, id string) int { return cmp.Compare(m.ID, id) })
+		byID := func(m *machine, id string) int { return cmp.Compare(m.ID, id) }
+		i, _ := slices.BinarySearchFunc(p.order, id, byID)
 		p.order = slices.Insert(p.order, i, m)
 	}
 	return m
