--- a/api.go
+++ b/api.go
@@ -64,7 +64,8 @@
 // Prices are points taken off the result; 0 means that the thing is free.
 type Prices struct {
 	CrossZone, Waste, Probe, Message, Moves, Discovery, Fleet, Refused float64
-	EvictionMoves                                                      float64 // an eviction counts as so many moves
+	// EvictionMoves: an eviction or push-out counts as so many moves.
+	EvictionMoves float64
 }
 
 // Config is what a scheduler is told when it starts. Zero values mean "not told" or "not allowed".
