--- a/placer.go
+++ b/placer.go
@@ -23,6 +23,7 @@
 	firstLife   = 60 * time.Second // the mean life before any task was seen to end
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
 	fleetFill   = 1.1              // where machines in use are priced, those needed are filled so far
+	large       = 0.1              // a task that asks for this share of every machine left is large
 	homes       = 2                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
@@ -528,7 +529,12 @@
 	}
 	k := p.cfg.Kinds[m.Kind]
 	return m.FreeCores-m.newCores+(p.cfg.AcceptCores-1)*k.Cores >= t.Cores &&
-		m.FreeMemory-m.newMemory+(p.cfg.AcceptMemory-1)*k.Memory >= t.Memory
+		p.free(m) >= t.Memory
+}
+
+// free is the memory that the list tells as free on m, less what we asked for since.
+func (p *Placer) free(m *machine) float64 {
+	return m.FreeMemory - m.newMemory + (p.cfg.AcceptMemory-1)*p.cfg.Kinds[m.Kind].Memory
 }
 
 // inUse names the machines that suffice for what the whole fleet is asked for now, filled to fleetFill, in an
