--- a/placer.go
+++ b/placer.go
@@ -492,8 +492,19 @@
 		mean += p.told(m) / float64(len(left))
 	}
 	keep(several, func(m *machine) bool { return p.told(m) < mean+overMean })
-	home := p.homes(t, left)
-	keep(1, func(m *machine) bool { return home[m] })
+	// A large task needs room more than its program: it goes where most is told free. Small ones go where
+	// their program is likely held.
+	if slices.ContainsFunc(left, func(m *machine) bool { return p.size(t, m) < large }) {
+		home := p.homes(t, left)
+		keep(1, func(m *machine) bool { return home[m] })
+	} else if p.cfg.ListsFree && len(left) > several {
+		free := make([]float64, len(left))
+		for i, m := range left {
+			free[i] = p.free(m)
+		}
+		slices.Sort(free)
+		keep(several, func(m *machine) bool { return p.free(m) >= free[len(free)-several] })
+	}
 	return left
 }
 
