--- a/placer.go
+++ b/placer.go
@@ -23,7 +23,6 @@
 	firstLife   = 60 * time.Second // the mean life before any task was seen to end
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
 	fleetFill   = 1.1              // where machines in use are priced, those needed are filled so far
-	large       = 0.1              // a task that asks for this share of every machine left is large
 	homes       = 2                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
@@ -48,6 +47,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		machines: map[string]*machine{}, tasks: map[string]*task{},
 		lives:   make([]lifetime, len(cfg.Classes)),
+		tenants: map[int]float64{},
 		unknown: Class{Effect: Unsafe, Kind: -1},
 	}
 	return p, nil
@@ -492,19 +492,8 @@
 		mean += p.told(m) / float64(len(left))
 	}
 	keep(several, func(m *machine) bool { return p.told(m) < mean+overMean })
-	// A large task needs room more than its program: it goes where most is told free. Small ones go where
-	// their program is likely held.
-	if slices.ContainsFunc(left, func(m *machine) bool { return p.size(t, m) < large }) {
-		home := p.homes(t, left)
-		keep(1, func(m *machine) bool { return home[m] })
-	} else if p.cfg.ListsFree && len(left) > several {
-		free := make([]float64, len(left))
-		for i, m := range left {
-			free[i] = p.free(m)
-		}
-		slices.Sort(free)
-		keep(several, func(m *machine) bool { return p.free(m) >= free[len(free)-several] })
-	}
+	home := p.homes(t, left)
+	keep(1, func(m *machine) bool { return home[m] })
 	return left
 }
 
@@ -683,10 +672,24 @@
 }
 
 func (p *Placer) rank(t *task) int {
+	rank := 0
 	if p.now > t.taken+t.class.Aim {
-		return 1
+		rank = 1
+	}
+	if p.overShare(t) {
+		rank += 2
+	}
+	return rank
+}
+
+// overShare: what a tenant asks beyond its share is worth little. This scheduler's part of the traffic is
+// taken for the rest's. Acts only on the order of tasks that wait, so never on the ordinary path.
+func (p *Placer) overShare(t *task) bool {
+	if t.Tenant < 0 || t.Tenant >= len(p.cfg.Tenants) || p.cfg.OverShareWorth >= 1 {
+		return false
 	}
-	return 0
+	quota := p.cfg.Tenants[t.Tenant].QuotaCores
+	return quota > 0 && p.tenants[t.Tenant]*float64(p.cfg.Schedulers) > quota
 }
 
 // place offers t to a machine, holds it, or gives it up.
--- a/state.go
+++ b/state.go
@@ -24,7 +24,8 @@
 	open     []*task // taken, not yet settled, in order of arrival
 	history  []*bind // in order of time
 	lives    []lifetime
-	lag      float64 // smoothed seconds from offer to Placed
+	tenants  map[int]float64 // cores asked by our attempts and tasks, by tenant
+	lag      float64         // smoothed seconds from offer to Placed
 	lagDev   float64
 	wakes    Time // the earliest wake still to come; 0: none
 	askAt    Time // when to subscribe next; 0: not needed
@@ -131,6 +132,7 @@
 	m.newCores += t.Cores
 	m.newMemory += t.Memory
 	m.waiting++
+	p.tenants[t.Tenant] += t.Cores
 }
 
 func (p *Placer) release(t *task, m *machine) {
@@ -138,6 +140,7 @@
 		delete(m.services, t.Service)
 	}
 	m.cores -= t.Cores
+	p.tenants[t.Tenant] -= t.Cores
 	m.memory -= t.Memory
 }
 
