--- a/placer.go
+++ b/placer.go
@@ -23,9 +23,7 @@
 	firstLife   = 60 * time.Second // the mean life before any task was seen to end
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
 	fleetFill   = 1.1              // where machines in use are priced, those needed are filled so far
-	idleFor     = 3 * time.Second  // not needed for so long: our tasks there are moved off
-	tidyStep    = 100 * time.Millisecond
-	homes       = 2 // machines that a service's programs are kept together on
+	homes       = 2                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
 	forget      = 10 * time.Second
@@ -74,7 +72,6 @@
 	}
 	p.ask()
 	p.serve()
-	p.tidy()
 	p.prune()
 	p.sleep()
 	return p.out
@@ -342,7 +339,7 @@
 	}
 	l := &p.lives[t.Class]
 	l.seen += p.now - a.sent
-	if v == Finished || v == Withdrawn && !t.moved {
+	if v == Finished || v == Withdrawn {
 		l.ended++
 	}
 }
@@ -568,40 +565,6 @@
 	return used
 }
 
-// tidy moves our tasks off machines that have not been needed for a while, one at a time, where the settings
-// price machines in use: what is left on a few machines late in a lull costs more than a start elsewhere. Only
-// safe tasks that run on for longer than their new start takes; never while anything waits for room. It could
-// hurt where demand swings faster than idleFor; then the machines come into use again and it stops.
-func (p *Placer) tidy() {
-	if p.cfg.Prices.Fleet <= p.cfg.Prices.Moves || !p.cfg.ListsFree || len(p.open) > 0 || p.now < p.tidyAt {
-		return
-	}
-	p.tidyAt = p.now + tidyStep
-	var all []*machine
-	for _, m := range p.order {
-		if m.listed && m.State == In && m.Kind >= 0 {
-			all = append(all, m)
-		}
-	}
-	used := p.inUse(all)
-	for _, m := range all {
-		if used[m] {
-			m.neededAt = p.now
-		}
-	}
-	for _, b := range slices.Backward(p.history) {
-		idle := b.m.State == In && p.now-max(b.m.neededAt, p.born) > idleFor
-		left := b.at + b.hint - p.now
-		if t := b.t; idle && t.placed && !t.moved && t.class.Effect == Safe && (b.hint == 0 || left > idleFor) {
-			if _, runs := p.tasks[t.ID]; runs {
-				t.moved = true
-				p.do(Move{Task: t.ID})
-				return
-			}
-		}
-	}
-}
-
 // homes names the few machines that a service's tasks go to, so that its program is held where they start.
 // Ranking by a hash of service and machine lets all schedulers name the same ones without talking; when
 // one is barred only its own services move. Machines where we have tasks of the service count too.
--- a/state.go
+++ b/state.go
@@ -30,7 +30,6 @@
 	wakes    Time // the earliest wake still to come; 0: none
 	askAt    Time // when to subscribe next; 0: not needed
 	askFails int
-	tidyAt   Time
 	unknown  Class
 }
 
@@ -47,7 +46,6 @@
 	fullSize  float64
 	fulls     int     // refusals in a row
 	waiting   int     // our offers there without an answer yet
-	neededAt  Time    // when it last was among those that the fleet's asks need
 	newCores  float64 // asked by our binds since the list's last word
 	newMemory float64
 	load      Load
@@ -72,14 +70,12 @@
 	class    *Class
 	taken    Time
 	attempts []attempt
-	moved    bool
 	settled  bool // it has its final answer, or needs none
 	placed   bool
 }
 
 // bind is one replayed offer: what was asked of which machine when, and the life drawn for it.
 type bind struct {
-	t             *task
 	m             *machine
 	at            Time
 	class         int
@@ -127,7 +123,7 @@
 
 // occupy books a new attempt of t on m.
 func (p *Placer) occupy(t *task, m *machine) {
-	b := &bind{t: t, m: m, at: p.now, class: t.Class, cores: t.Cores, memory: t.Memory, hint: t.Life}
+	b := &bind{m: m, at: p.now, class: t.Class, cores: t.Cores, memory: t.Memory, hint: t.Life}
 	p.history = append(p.history, b)
 	t.attempts = append(t.attempts, attempt{m: m, sent: p.now, live: true, history: b})
 	m.services[t.Service]++
