--- a/placer.go
+++ b/placer.go
@@ -22,7 +22,7 @@
 	maxHistory  = 768              // and never over so many binds, which bounds the work of a vote
 	firstLife   = 60 * time.Second // the mean life before any task was seen to end
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
-	fleetFill   = 1.1              // where machines in use are priced, those needed are filled so far
+	fleetFill   = 1.0              // where machines in use are priced, those needed are filled so far
 	homes       = 2                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
