--- a/placer.go
+++ b/placer.go
@@ -23,6 +23,7 @@
 	firstLife   = 60 * time.Second // the mean life before any task was seen to end
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
 	fleetFill   = 1.0              // where machines in use are priced, those needed are filled so far
+	listLate    = time.Second      // the list's free room may lack what was asked so long before
 	homes       = 2                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
@@ -138,7 +139,7 @@
 			p.forgetBinds(m, p.now)
 		}
 		m.Machine, m.listed = entry, true
-		m.newCores, m.newMemory = 0, 0
+		m.newCores, m.newMemory, m.viewAt = 0, 0, p.now
 	}
 	if e.Whole {
 		for _, m := range p.order {
@@ -523,18 +524,27 @@
 }
 
 // room tells whether the list's free cores and memory leave room for t; true where it tells none.
+//
+// Other schedulers' binds are missing from the replay, and the list is late: what we asked of the machine since
+// listLate before the list's word stands for what each of the others asked too. Against a rush of all
+// schedulers onto the same homes. It could hurt one scheduler that gets most of the traffic.
 func (p *Placer) room(t *task, m *machine) bool {
 	if !p.cfg.ListsFree {
 		return true
 	}
 	k := p.cfg.Kinds[m.Kind]
-	return m.FreeCores-m.newCores+(p.cfg.AcceptCores-1)*k.Cores >= t.Cores &&
-		p.free(m) >= t.Memory
-}
-
-// free is the memory that the list tells as free on m, less what we asked for since.
-func (p *Placer) free(m *machine) float64 {
-	return m.FreeMemory - m.newMemory + (p.cfg.AcceptMemory-1)*p.cfg.Kinds[m.Kind].Memory
+	cores := m.FreeCores + (p.cfg.AcceptCores-1)*k.Cores
+	memory := m.FreeMemory + (p.cfg.AcceptMemory-1)*k.Memory
+	for _, b := range slices.Backward(p.history) {
+		if b.at < m.viewAt-listLate {
+			break
+		}
+		if b.m == m && !b.off {
+			cores -= b.cores * float64(p.cfg.Schedulers)
+			memory -= b.memory * float64(p.cfg.Schedulers)
+		}
+	}
+	return cores >= t.Cores && memory >= t.Memory
 }
 
 // inUse names the machines that suffice for what the whole fleet is asked for now, filled to fleetFill, in an
--- a/state.go
+++ b/state.go
@@ -45,6 +45,7 @@
 	fullBar   Time // until then it refuses tasks of fullSize or more
 	fullSize  float64
 	fulls     int     // refusals in a row
+	viewAt    Time    // when the list last told its free room
 	waiting   int     // our offers there without an answer yet
 	newCores  float64 // asked by our binds since the list's last word
 	newMemory float64
