--- a/placer.go
+++ b/placer.go
@@ -525,9 +525,8 @@
 
 // room tells whether the list's free cores and memory leave room for t; true where it tells none.
 //
-// Other schedulers' binds are missing from the replay, and the list is late: what we asked of the machine since
-// listLate before the list's word stands for what each of the others asked too. Against a rush of all
-// schedulers onto the same homes. It could hurt one scheduler that gets most of the traffic.
+// The list is late, so what we asked of the machine since listLate before its word counts as asked too, against
+// a rush of ours onto room that is gone. Guessing the others' binds from ours held too many tasks back.
 func (p *Placer) room(t *task, m *machine) bool {
 	if !p.cfg.ListsFree {
 		return true
@@ -540,8 +539,8 @@
 			break
 		}
 		if b.m == m && !b.off {
-			cores -= b.cores * float64(p.cfg.Schedulers)
-			memory -= b.memory * float64(p.cfg.Schedulers)
+			cores -= b.cores
+			memory -= b.memory
 		}
 	}
 	return cores >= t.Cores && memory >= t.Memory
