--- a/placer.go
+++ b/placer.go
@@ -24,6 +24,7 @@
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
 	fleetFill   = 1.0              // where machines in use are priced, those needed are filled so far
 	listLate    = time.Second      // the list's free room may lack what was asked so long before
+	maxWindow   = 16               // acceptances in a row after which offers to a machine are not counted any more
 	homes       = 2                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
@@ -197,7 +198,10 @@
 	p.lagDev += (math.Abs(lag-p.lag) - p.lagDev) / 8
 	p.lag += (lag - p.lag) / 8
 	a.placed, t.placed, t.settled = true, true, true
-	a.m.fulls = 0
+	a.m.fulls = max(a.m.fulls-1, 0)
+	if a.m.window > 0 {
+		a.m.window = (a.m.window + 1) % maxWindow
+	}
 	a.m.waiting--
 	if p.now-a.m.failedAt > forget {
 		a.m.strikes = 0
@@ -289,6 +293,7 @@
 	switch e.Verdict {
 	case Failed, TimedOut, Unreachable:
 		p.strike(m)
+		m.window = 1
 	case Lost:
 		switch e.Reason {
 		case Evicted, PushedOut:
@@ -298,6 +303,7 @@
 			p.strike(m)
 		}
 	case Refused:
+		m.window = 1
 		size := p.size(t, m)
 		if p.now >= m.fullBar || size < m.fullSize {
 			m.fullSize = size
@@ -476,11 +482,10 @@
 	// Failing, lost or out of reach. When over half are, the cause is not a machine.
 	keep(max(several, len(left)/2), func(m *machine) bool { return !p.failing(m) })
 	// Full as far as told. A refused offer is priced and uses up an attempt, so a task is held while no
-	// machine has room, until most of its time is gone.
-	last := t.taken + (t.ValidUntil-t.taken)*3/4
-	least := 1
-	if p.now < last {
-		least = 0
+	// machine has room; late in its time it is tried once all the same, in case the evidence is wrong.
+	least := 0
+	if p.now >= t.taken+(t.ValidUntil-t.taken)*3/4 && len(t.attempts) == 0 {
+		least = 1
 	}
 	keep(least, func(m *machine) bool { return !p.full(t, m) })
 	if p.cfg.Prices.Fleet > 0 && p.cfg.ListsFree {
@@ -498,14 +503,16 @@
 	return left
 }
 
-// failing: it failed lately, or did so and one offer is out to find whether it has recovered, without a rush.
+// failing: it failed lately, or did so and as many offers are out as may find whether it has recovered.
 func (p *Placer) failing(m *machine) bool {
-	return p.now < m.failBar || m.strikes > 0 && m.waiting > 0
+	return p.now < m.failBar || m.strikes > 0 && m.rushed()
 }
 
-// full: it lately refused such a size, or did so and one offer is out to find out, or the list tells no room.
+// full: it lately refused such a size, or did so and enough offers are out to find out, or the list tells no
+// room. After a refusal one offer may be out, after each acceptance one more: else all tasks that were held go
+// to the first machine that takes one (incident i959772).
 func (p *Placer) full(t *task, m *machine) bool {
-	return p.now < m.fullBar && p.size(t, m) >= m.fullSize || m.fulls > 0 && m.waiting > 0 || !p.room(t, m)
+	return p.now < m.fullBar && p.size(t, m) >= m.fullSize || m.rushed() || !p.room(t, m)
 }
 
 // told is the load that a machine's last report tells; 0 without a fresh one.
@@ -525,8 +532,8 @@
 
 // room tells whether the list's free cores and memory leave room for t; true where it tells none.
 //
-// The list is late, so what we asked of the machine since listLate before its word counts as asked too, against
-// a rush of ours onto room that is gone. Guessing the others' binds from ours held too many tasks back.
+// The list is late, so what we asked of the machine since listLate before its word counts as asked too,
+// against a rush of ours onto room that is gone. Guessing the others' binds held too many tasks back.
 func (p *Placer) room(t *task, m *machine) bool {
 	if !p.cfg.ListsFree {
 		return true
--- a/placer_test.go
+++ b/placer_test.go
@@ -400,6 +400,10 @@
 		if !held() {
 			t.Errorf("verdict %d: a second offer at once", v)
 		}
+		m.window++ // as after an acceptance
+		if held() {
+			t.Errorf("verdict %d: no second offer after an acceptance", v)
+		}
 	}
 }
 
--- a/state.go
+++ b/state.go
@@ -46,6 +46,7 @@
 	fullSize  float64
 	fulls     int     // refusals in a row
 	viewAt    Time    // when the list last told its free room
+	window    int     // so many offers may wait there for their answer; 0: any number
 	waiting   int     // our offers there without an answer yet
 	newCores  float64 // asked by our binds since the list's last word
 	newMemory float64
@@ -210,3 +211,6 @@
 func (t *task) tried(m *machine) bool {
 	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return a.m == m })
 }
+
+// rushed: as many offers wait at m as may since it last said no.
+func (m *machine) rushed() bool { return m.window > 0 && m.waiting >= m.window }
