--- a/placer.go
+++ b/placer.go
@@ -24,7 +24,7 @@
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
 	fleetFill   = 1.0              // where machines in use are priced, those needed are filled so far
 	listLate    = time.Second      // the list's free room may lack what was asked so long before
-	maxWindow   = 16               // acceptances in a row after which offers to a machine are not counted any more
+	maxWindow   = 16               // acceptances after which offers to a machine are not counted any more
 	homes       = 2                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
@@ -118,10 +118,9 @@
 		return
 	}
 	t := p.newTask(e.Task)
-	t.settled, t.placed = true, true
+	t.settled = true
 	p.occupy(t, p.machine(e.Machine))
-	t.attempts[0].placed = true
-	t.attempts[0].m.waiting--
+	p.seat(t, &t.attempts[0])
 }
 
 func (p *Placer) listed(e Listed) {
@@ -197,12 +196,12 @@
 	lag := e.Lag.Seconds()
 	p.lagDev += (math.Abs(lag-p.lag) - p.lagDev) / 8
 	p.lag += (lag - p.lag) / 8
-	a.placed, t.placed, t.settled = true, true, true
+	t.settled = true
+	p.seat(t, a)
 	a.m.fulls = max(a.m.fulls-1, 0)
 	if a.m.window > 0 {
 		a.m.window = (a.m.window + 1) % maxWindow
 	}
-	a.m.waiting--
 	if p.now-a.m.failedAt > forget {
 		a.m.strikes = 0
 	}
@@ -339,26 +338,26 @@
 	}
 }
 
-// learnLife adds a life that was seen to end; one cut short by its machine counts as not ended.
+// learnLife ends a life of t's class; one cut short by its machine counts as not ended.
 func (p *Placer) learnLife(t *task, a *attempt, v Verdict) {
-	if !a.placed || t.Class < 0 || t.Class >= len(p.lives) {
-		return
-	}
-	l := &p.lives[t.Class]
-	l.seen += p.now - a.sent
-	if v == Finished || v == Withdrawn {
-		l.ended++
+	if l := p.life(t.Class); a.placed && l != nil {
+		l.seen += p.now - a.sent
+		l.running, l.since = l.running-1, l.since-a.sent
+		if v == Finished || v == Withdrawn {
+			l.ended++
+		}
 	}
 }
 
 // meanLife is the mean of a class's exponential lives with those still running counted as censored: time
 // seen running over endings. Endings alone would be biased short while most tasks still run.
 func (p *Placer) meanLife(class int) time.Duration {
-	if class < 0 || class >= len(p.lives) {
+	l := p.life(class)
+	if l == nil {
 		return firstLife
 	}
-	l := p.lives[class]
-	return (l.seen + firstLife) / time.Duration(l.ended+1)
+	running := time.Duration(l.running)*p.now - l.since
+	return (l.seen + running + firstLife) / time.Duration(l.ended+1)
 }
 
 func (p *Placer) longestLife() time.Duration {
@@ -508,9 +507,9 @@
 	return p.now < m.failBar || m.strikes > 0 && m.rushed()
 }
 
-// full: it lately refused such a size, or did so and enough offers are out to find out, or the list tells no
-// room. After a refusal one offer may be out, after each acceptance one more: else all tasks that were held go
-// to the first machine that takes one (incident i959772).
+// full: it lately refused such a size, or enough offers are out since to find out, or the list tells no room.
+// After a refusal one offer may be out, after each acceptance one more: else all tasks that were held go to
+// the first machine that takes one (incident i959772).
 func (p *Placer) full(t *task, m *machine) bool {
 	return p.now < m.fullBar && p.size(t, m) >= m.fullSize || m.rushed() || !p.room(t, m)
 }
--- a/placer_test.go
+++ b/placer_test.go
@@ -344,6 +344,11 @@
 	if m := p.meanLife(0); m != 60*time.Second {
 		t.Errorf("mean life %v, want (180+60)/4", m)
 	}
+	// Two that still run, seen for 40 s and 60 s, count as time without an ending.
+	p.lives[0].running, p.lives[0].since = 2, 30*time.Second+10*time.Second
+	if m := p.meanLife(0); m != 85*time.Second {
+		t.Errorf("mean life %v, want (180+40+60+60)/4", m)
+	}
 }
 
 func TestRefusedBindsLeaveTheHistory(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -88,8 +88,10 @@
 
 // lifetime is what a class's lives add up to: a censored mean, see meanLife.
 type lifetime struct {
-	seen  time.Duration
-	ended int
+	seen    time.Duration // by those that ended
+	running int
+	since   Time // the sum of the times from which the running ones are seen
+	ended   int
 }
 
 func (p *Placer) newTask(spec Task) *task {
@@ -146,6 +148,23 @@
 	m.memory -= t.Memory
 }
 
+// seat books that an attempt was placed.
+func (p *Placer) seat(t *task, a *attempt) {
+	a.placed, t.placed = true, true
+	a.m.waiting--
+	if l := p.life(t.Class); l != nil {
+		l.running, l.since = l.running+1, l.since+a.sent
+	}
+}
+
+// life is the record of a class's lives; nil for a class that the settings don't name.
+func (p *Placer) life(class int) *lifetime {
+	if class < 0 || class >= len(p.lives) {
+		return nil
+	}
+	return &p.lives[class]
+}
+
 // drop forgets a task that is settled and has no attempt out.
 func (p *Placer) drop(t *task) {
 	if !t.settled {
