--- a/placer.go
+++ b/placer.go
@@ -33,7 +33,7 @@
 	fullBar     = 500 * time.Millisecond
 	queueBar    = 150 * time.Millisecond
 	shortMemory = 0.92 // share of a machine's memory in use beyond which it is short
-	overMean    = 0.15 // a reported load so far over the mean of its peers contradicts the replay
+	overMean    = 0.3 // a reported load so far over the mean of its peers contradicts the replay
 	reportFresh = 3 * time.Second
 	holdStep    = 40 * time.Millisecond // how often a held task is looked at again
 	askRetry    = 250 * time.Millisecond
