--- a/placer.go
+++ b/placer.go
@@ -25,7 +25,6 @@
 	fleetFill   = 1.0              // where machines in use are priced, those needed are filled so far
 	listLate    = time.Second      // the list's free room may lack what was asked so long before
 	maxWindow   = 16               // acceptances after which offers to a machine are not counted any more
-	homes       = 2                // machines that a service's programs are kept together on
 	baseBar     = 500 * time.Millisecond
 	maxStrikes  = 4 // a bar lasts baseBar << strikes at most
 	forget      = 10 * time.Second
@@ -33,7 +32,7 @@
 	fullBar     = 500 * time.Millisecond
 	queueBar    = 150 * time.Millisecond
 	shortMemory = 0.92 // share of a machine's memory in use beyond which it is short
-	overMean    = 0.3 // a reported load so far over the mean of its peers contradicts the replay
+	overMean    = 0.3  // a reported load so far over the mean of its peers contradicts the replay
 	reportFresh = 3 * time.Second
 	holdStep    = 40 * time.Millisecond // how often a held task is looked at again
 	askRetry    = 250 * time.Millisecond
@@ -390,10 +389,7 @@
 	if len(left) == 0 {
 		return nil
 	}
-	if left = p.prefer(t, left); len(left) == 0 {
-		return nil
-	}
-	return p.vote(left)
+	return p.vote(p.prefer(t, left))
 }
 
 // allowed is the hard bars.
@@ -487,6 +483,9 @@
 		least = 1
 	}
 	keep(least, func(m *machine) bool { return !p.full(t, m) })
+	if len(left) == 0 {
+		return nil
+	}
 	if p.cfg.Prices.Fleet > 0 && p.cfg.ListsFree {
 		used := p.inUse(left)
 		keep(several, func(m *machine) bool { return used[m] })
@@ -498,7 +497,7 @@
 	}
 	keep(several, func(m *machine) bool { return p.told(m) < mean+overMean })
 	home := p.homes(t, left)
-	keep(1, func(m *machine) bool { return home[m] })
+	keep(several, func(m *machine) bool { return home[m] })
 	return left
 }
 
@@ -580,13 +579,21 @@
 	return used
 }
 
-// homes names the few machines that a service's tasks go to, so that its program is held where they start.
-// Ranking by a hash of service and machine lets all schedulers name the same ones without talking; when
-// one is barred only its own services move. Machines where we have tasks of the service count too.
+// homes names the machines where a service's program is likely held: those that have our tasks of it, and its
+// first home. A hash of service and machine ranks homes, so all schedulers name the same ones without talking,
+// and when one is barred only its own services move. The next ranks fill up to several, since a vote among
+// one is none. It could hurt where a flush empties the homes: the bar then only narrows the vote.
 func (p *Placer) homes(t *task, left []*machine) map[*machine]bool {
 	home := map[*machine]bool{}
-	for i, m := range ranked(left, t.Service) {
-		if i < homes || m.services[t.Service] > 0 {
+	ranks := ranked(left, t.Service)
+	home[ranks[0]] = true
+	for _, m := range left {
+		if m.services[t.Service] > 0 {
+			home[m] = true
+		}
+	}
+	for _, m := range ranks {
+		if len(home) < several {
 			home[m] = true
 		}
 	}
@@ -598,7 +605,10 @@
 // vote replays the history r times from an empty fleet. Each run names the least loaded machine of left now;
 // the one named most often wins, ties at random.
 func (p *Placer) vote(left []*machine) *machine {
-	if len(left) == 1 {
+	switch len(left) {
+	case 0:
+		return nil
+	case 1:
 		return left[0]
 	}
 	index := make(map[*machine]int, len(left))
--- a/placer_test.go
+++ b/placer_test.go
@@ -450,3 +450,95 @@
 		t.Errorf("history %d, tasks %d, machines %d", len(p.history), len(p.tasks), len(p.order))
 	}
 }
+
+// Incident i959772 and a crash met on the way: nothing is left when every machine is told full.
+func TestNoneLeftIsHeld(t *testing.T) {
+	p := start(t, config(), fleet(2))
+	for _, m := range p.order {
+		m.fullBar = time.Hour
+	}
+	as := p.Step(time.Second+ms, []Event{ask("t", 0, 9*time.Second)})
+	if len(offers(as)) != 0 || has(as, Refuse{"t"}) {
+		t.Errorf("want the task held, got %v", as)
+	}
+}
+
+// All schedulers name the same first home, and the vote keeps more than one machine.
+func TestHomes(t *testing.T) {
+	task := &task{Task: ask("t", 0, 0).Task}
+	a, b := start(t, config(), fleet(6)), start(t, config(), fleet(6))
+	for _, service := range []string{"s", "u", "v"} {
+		task.Service = service
+		ha, hb := a.homes(task, a.order), b.homes(task, b.order)
+		if len(ha) != several {
+			t.Fatalf("%d homes", len(ha))
+		}
+		for m := range ha {
+			if !hb[b.machines[m.ID]] {
+				t.Errorf("service %s: the other scheduler does not name %s", service, m.ID)
+			}
+		}
+	}
+	for _, m := range a.order[:4] {
+		m.services["s"] = 1
+	}
+	task.Service = "s"
+	if h := a.homes(task, a.order); len(h) < 4 || len(h) > 5 {
+		t.Errorf("with tasks on four machines: %d homes", len(h))
+	}
+}
+
+// A report far over its peers' bars a machine while the report is fresh, a small difference does not.
+func TestReportThatContradicts(t *testing.T) {
+	for _, c := range []struct {
+		free   float64
+		age    time.Duration
+		barred bool
+	}{{2, 0, true}, {24, 0, false}, {2, time.Minute, false}} {
+		p := start(t, config(), fleet(4))
+		p.now = 2 * time.Minute
+		for i, m := range p.order {
+			m.load, m.loadAt = Load{Told: true, HasCores: true, FreeCores: 28}, p.now
+			if i == 0 {
+				m.load.FreeCores, m.loadAt = c.free, p.now-c.age
+			}
+			m.services["s"] = 1
+		}
+		left := p.prefer(&task{Task: ask("t", 0, time.Hour).Task, class: &p.cfg.Classes[0]}, p.order)
+		if barred := !slices.Contains(left, p.order[0]); barred != c.barred {
+			t.Errorf("free %v, age %v: barred %v", c.free, c.age, barred)
+		}
+	}
+}
+
+// Where machines in use are priced, placing keeps to as many as the fleet's asks need.
+func TestMachinesInUse(t *testing.T) {
+	c := config()
+	c.ListsFree, c.Prices.Fleet = true, 0.25
+	ms := fleet(6)
+	for i := range ms {
+		ms[i].FreeCores, ms[i].FreeMemory = 16, 50 // half of what each has is asked for
+	}
+	p := start(t, c, ms)
+	if used := p.inUse(p.order); len(used) < 3 || len(used) > 4 {
+		t.Errorf("%d of 6 half-full machines in use", len(used))
+	}
+}
+
+// What tenants ask beyond their share waits behind the others.
+func TestOverShareGoesLast(t *testing.T) {
+	c := config()
+	c.Tenants = []Tenant{{Name: "a", QuotaCores: 1}, {Name: "b", QuotaCores: 100}}
+	p := start(t, c, fleet(2))
+	p.tenants[0], p.tenants[1] = 5, 5
+	over, within := &task{class: &c.Classes[0]}, &task{class: &c.Classes[0]}
+	within.Tenant = 1
+	over.taken, within.taken = p.now, p.now
+	if p.rank(over) <= p.rank(within) {
+		t.Errorf("ranks %d and %d", p.rank(over), p.rank(within))
+	}
+	within.taken = p.now - time.Minute
+	if p.rank(over) <= p.rank(within) {
+		t.Error("a late task within its share goes before one beyond it")
+	}
+}
