--- a/placer.go
+++ b/placer.go
@@ -580,7 +580,7 @@
 }
 
 // homes names the machines where a service's program is likely held: those that have our tasks of it, and its
-// first home. A hash of service and machine ranks homes, so all schedulers name the same ones without talking,
+// first home. A hash of service and machine ranks homes, so all schedulers name the same ones without a word,
 // and when one is barred only its own services move. The next ranks fill up to several, since a vote among
 // one is none. It could hurt where a flush empties the homes: the bar then only narrows the vote.
 func (p *Placer) homes(t *task, left []*machine) map[*machine]bool {
