--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"flaxshelf.example/flaxshelf"
+	"flaxshelf.example/flaxshelf/internal/wire"
 )
 
 func up(who int) string {
@@ -77,3 +80,13 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// A panic in the module becomes a BUG of its instance; here the module is missing altogether.
+func TestPanicBecomesABug(t *testing.T) {
+	var out bytes.Buffer
+	w := wire.NewWriter(&out)
+	step(nil, &wire.Batch{Clock: 1}, 4, []flaxshelf.Event{flaxshelf.Woken{}}, w)
+	if err := w.End(1); err != nil || !strings.HasPrefix(out.String(), "BUG who=4 msg=runtime error") {
+		t.Errorf("%v, wrote %q", err, out.String())
+	}
+}
--- a/placer.go
+++ b/placer.go
@@ -22,7 +22,7 @@
 	maxHistory  = 768              // and never over so many binds, which bounds the work of a vote
 	firstLife   = 60 * time.Second // the mean life before any task was seen to end
 	several     = 2                // a soft bar that would leave fewer machines than this is skipped
-	fleetFill   = 1.0              // where machines in use are priced, those needed are filled so far
+	fleetFill   = 0.85             // where machines in use are priced, those needed are filled so far
 	listLate    = time.Second      // the list's free room may lack what was asked so long before
 	maxWindow   = 16               // acceptances after which offers to a machine are not counted any more
 	baseBar     = 500 * time.Millisecond
--- a/placer_test.go
+++ b/placer_test.go
@@ -542,3 +542,25 @@
 		t.Error("a late task within its share goes before one beyond it")
 	}
 }
+
+// Settings that a site leaves out: no classes, kinds, limits, zones or list; what is asked is still answered.
+func TestBareSettings(t *testing.T) {
+	p, err := New(Config{Kinds: []Kind{{"k", 8, 8}}, Classes: []Class{{Name: "c", Kind: -1}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Step(time.Second, []Event{Listed{Whole: true}})
+	if as := p.Step(time.Second, []Event{ask("t", 0, 3*time.Second)}); len(offers(as)) != 0 {
+		t.Fatalf("no machine, yet %v", as)
+	}
+	o := one(t, p.Step(2*time.Second, []Event{Listed{Machines: []Machine{{ID: "m"}}}}))
+	if o.Machine != "m" || o.Timeout <= 0 {
+		t.Errorf("got %v", o)
+	}
+	if p, err = New(Config{}, 1); err != nil {
+		t.Fatal(err)
+	}
+	if as := p.Step(time.Second, []Event{ask("t", 0, 3*time.Second)}); !has(as, Refuse{"t"}) {
+		t.Errorf("no classes: %v", as)
+	}
+}
