--- a/placer.go
+++ b/placer.go
@@ -539,7 +539,7 @@
 	k := p.cfg.Kinds[m.Kind]
 	cores := m.FreeCores + (p.cfg.AcceptCores-1)*k.Cores
 	memory := m.FreeMemory + (p.cfg.AcceptMemory-1)*k.Memory
-	for _, b := range slices.Backward(p.history) {
+	for _, b := range slices.Backward(p.recent()) {
 		if b.at < m.viewAt-listLate {
 			break
 		}
@@ -621,7 +621,7 @@
 		alive         float64 // chance that the drawn life reaches to now
 	}
 	var rs []replayed
-	for _, b := range p.history {
+	for _, b := range p.recent() {
 		i, ok := index[b.m]
 		if !ok || b.off || b.m.Kind < 0 {
 			continue
@@ -645,6 +645,9 @@
 	return left[p.least(len(left), func(i int) float64 { return -float64(votes[i]) })]
 }
 
+// recent is the history that counts: no more than maxHistory binds, also within one step that brings thousands.
+func (p *Placer) recent() []*bind { return p.history[max(0, len(p.history)-maxHistory):] }
+
 // alive is the chance that the life drawn for b has not ended: its hint where given, else exponential with
 // its class's mean life. Drawing once against it is the same as drawing the life.
 func (p *Placer) alive(b *bind) float64 {
