--- a/placer.go
+++ b/placer.go
@@ -645,7 +645,7 @@
 	return left[p.least(len(left), func(i int) float64 { return -float64(votes[i]) })]
 }
 
-// recent is the history that counts: no more than maxHistory binds, also within one step that brings thousands.
+// recent is the history that counts: at most maxHistory binds, also within a step that brings thousands.
 func (p *Placer) recent() []*bind { return p.history[max(0, len(p.history)-maxHistory):] }
 
 // alive is the chance that the life drawn for b has not ended: its hint where given, else exponential with
