--- a/placer_test.go
+++ b/placer_test.go
@@ -170,6 +170,57 @@
 	}
 }
 
+// Fourth rule with far more schedulers than always-safe offers: all of them together, each with work all the
+// time, stay within the budget in any window, and use a good part of it from the start on.
+func TestManySchedulersTakeTurnsAtColdMachines(t *testing.T) {
+	c := config()
+	c.Schedulers, c.ColdOffers = 300, 24
+	sends := map[string][]Time{}
+	var placers []*Placer
+	for i := range c.Schedulers {
+		c.Index = i
+		p, err := New(c, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		placers = append(placers, p)
+	}
+	machines := fleet(3)
+	for i := range machines {
+		machines[i].Started = time.Second + Time(i)*70*ms
+	}
+	for now := time.Second; now < 9*time.Second; now += 50 * ms {
+		for i, p := range placers {
+			var es []Event
+			if now == time.Second {
+				es = append(es, Listed{Whole: true, Machines: machines})
+			}
+			if now > time.Second {
+				es = append(es, ask(fmt.Sprint(i, now), 0, now+time.Minute))
+			}
+			for _, o := range offers(p.Step(now, es)) {
+				sends[o.Machine] = append(sends[o.Machine], now)
+				p.Step(now, []Event{Ended{Task: o.Task, Machine: o.Machine, Verdict: Finished, Done: true}})
+			}
+		}
+	}
+	for id, at := range sends {
+		most, first := 0, 0
+		for last := range at {
+			for at[last]-at[first] > c.FallWindow {
+				first++
+			}
+			most = max(most, last-first+1)
+		}
+		if most > int(c.ColdOffers) || len(at) < 3*int(c.ColdOffers) {
+			t.Errorf("%s: %d offers in a window, %d in all", id, most, len(at))
+		}
+	}
+	if len(sends) != len(machines) {
+		t.Errorf("offers went to %d machines", len(sends))
+	}
+}
+
 // Fourth rule: a restarted scheduler can't know what it sent, so its share counts as spent.
 func TestColdShareIsSpentAfterOwnStart(t *testing.T) {
 	p, _ := New(config(), 1)
--- a/state.go
+++ b/state.go
@@ -35,7 +35,8 @@
 
 type machine struct {
 	Machine
-	listed    bool // named by a list in this life of the scheduler
+	hash      uint64 // of its ID: the same at every scheduler
+	listed    bool   // named by a list in this life of the scheduler
 	goneAt    Time
 	offers    []Time // recent offers, kept while the machine may be cold
 	failBar   Time   // no offers until then: it failed, was lost or could not be reached
@@ -115,7 +116,7 @@
 func (p *Placer) machine(id string) *machine {
 	m := p.machines[id]
 	if m == nil {
-		m = &machine{goneAt: p.now, services: map[string]int{}}
+		m = &machine{goneAt: p.now, services: map[string]int{}, hash: hash(id)}
 		m.Machine = Machine{ID: id, Kind: -1, State: Out}
 		p.machines[id] = m
 		byID := func(m *machine, id string) int { return cmp.Compare(m.ID, id) }
@@ -193,18 +194,20 @@
 
 // ranked orders machines by a hash of their ID and salt: an order that schedulers share without talking.
 func ranked(ms []*machine, salt string) []*machine {
-	hash := make(map[*machine]uint64, len(ms))
-	for _, m := range ms {
-		h := fnv.New64a()
-		h.Write([]byte(m.ID))
-		h.Write([]byte(salt))
-		hash[m] = mix(h.Sum64())
-	}
+	salted := hash(salt)
 	ms = slices.Clone(ms)
-	slices.SortFunc(ms, func(a, b *machine) int { return cmp.Compare(hash[a], hash[b]) })
+	slices.SortFunc(ms, func(a, b *machine) int {
+		return cmp.Compare(mix(a.hash^salted), mix(b.hash^salted))
+	})
 	return ms
 }
 
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return mix(h.Sum64())
+}
+
 // mix spreads the bits of a hash whose inputs are much alike.
 func mix(h uint64) uint64 {
 	h ^= h >> 33
