--- a/placer.go
+++ b/placer.go
@@ -613,15 +613,23 @@
 // first home. A hash of service and machine ranks homes, so all schedulers name the same ones without a word,
 // and when one is barred only its own services move. The next ranks fill up to several, since a vote among
 // one is none. It could hurt where a flush empties the homes: the bar then only narrows the vote.
+//
+// A machine is home to services in proportion to its size (weighted rendezvous hashing), since schedulers with
+// few binds of their own follow the homes far more than the replay.
 func (p *Placer) homes(t *task, left []*machine) map[*machine]bool {
 	home := map[*machine]bool{}
-	ranks := ranked(left, t.Service)
-	home[ranks[0]] = true
 	for _, m := range left {
 		if m.services[t.Service] > 0 {
 			home[m] = true
 		}
 	}
+	service := hash(t.Service)
+	ranks := slices.Clone(left)
+	for _, m := range ranks {
+		m.rank = math.Log(float64(mix(m.hash^service)>>11+1)/(1<<53)) / p.weight(m)
+	}
+	slices.SortFunc(ranks, func(a, b *machine) int { return cmp.Compare(b.rank, a.rank) })
+	home[ranks[0]] = true
 	for _, m := range ranks {
 		if len(home) < several {
 			home[m] = true
@@ -630,6 +638,16 @@
 	return home
 }
 
+// weight is a machine's size among the kinds: the smaller of its shares of the largest cores and memory.
+func (p *Placer) weight(m *machine) float64 {
+	var most Kind
+	for _, k := range p.cfg.Kinds {
+		most.Cores, most.Memory = max(most.Cores, k.Cores), max(most.Memory, k.Memory)
+	}
+	k := p.cfg.Kinds[m.Kind]
+	return min(k.Cores/most.Cores, k.Memory/most.Memory)
+}
+
 // ---- Replay.
 
 // vote replays the history r times from an empty fleet. Each run names the least loaded machine of left now;
@@ -670,9 +688,9 @@
 				memory[r.i] += r.memory
 			}
 		}
-		votes[p.least(len(left), func(i int) float64 { return max(cores[i], memory[i]) })]++
+		votes[p.least(left, func(i int) float64 { return max(cores[i], memory[i]) })]++
 	}
-	return left[p.least(len(left), func(i int) float64 { return -float64(votes[i]) })]
+	return left[p.least(left, func(i int) float64 { return -float64(votes[i]) })]
 }
 
 // recent is the history that counts: at most maxHistory binds, also within a step that brings thousands.
@@ -691,15 +709,17 @@
 	return math.Exp(-float64(age) / float64(p.meanLife(b.class)))
 }
 
-// least returns the index of the least value, ties at random.
-func (p *Placer) least(n int, value func(int) float64) int {
-	best, ties := 0, 1
-	for i := 1; i < n; i++ {
+// least returns the index of the least value. Ties go at random, in proportion to size: with few binds beside
+// the machines most of them tie at none, and a plain draw would fill the small ones first.
+func (p *Placer) least(left []*machine, value func(int) float64) int {
+	best, ties := 0, p.weight(left[0])
+	for i := 1; i < len(left); i++ {
 		switch v, b := value(i), value(best); {
 		case v < b:
-			best, ties = i, 1
+			best, ties = i, p.weight(left[i])
 		case v == b:
-			if ties++; p.rng.IntN(ties) == 0 {
+			w := p.weight(left[i])
+			if ties += w; p.rng.Float64()*ties < w {
 				best = i
 			}
 		}
--- a/state.go
+++ b/state.go
@@ -56,6 +56,7 @@
 	services  map[string]int // our attempts and tasks there, by service
 	cores     float64        // asked by them
 	memory    float64
+	rank      float64 // among the homes of the service in hand
 }
 
 type attempt struct {
