--- a/placer.go
+++ b/placer.go
@@ -609,8 +609,8 @@
 	return used
 }
 
-// homes names the machines where a service's program is likely held: those that have our tasks of it, and its
-// first home. A hash of service and machine ranks homes, so all schedulers name the same ones without a word,
+// homes names the machines where a service's program is likely held: those that have our tasks of it, and
+// its first home. A hash of both ranks homes, so all schedulers name the same ones without a word,
 // and when one is barred only its own services move. The next ranks fill up to several, since a vote among
 // one is none. It could hurt where a flush empties the homes: the bar then only narrows the vote.
 //
@@ -660,8 +660,9 @@
 		return left[0]
 	}
 	index := make(map[*machine]int, len(left))
+	others := make([]float64, len(left))
 	for i, m := range left {
-		index[m] = i
+		index[m], others[i] = i, p.others(m)
 	}
 	type replayed struct {
 		i             int
@@ -688,11 +689,24 @@
 				memory[r.i] += r.memory
 			}
 		}
-		votes[p.least(left, func(i int) float64 { return max(cores[i], memory[i]) })]++
+		votes[p.least(left, func(i int) float64 { return others[i] + max(cores[i], memory[i]) })]++
 	}
 	return left[p.least(left, func(i int) float64 { return -float64(votes[i]) })]
 }
 
+// others is what other schedulers have asked of m by the list's word, as a share of its kind; 0 where the list
+// tells no room. It is an exception to the empty fleet from which a run starts: with few own binds beside the
+// machines most would tie at none.
+func (p *Placer) others(m *machine) float64 {
+	if !p.cfg.ListsFree {
+		return 0
+	}
+	k := p.cfg.Kinds[m.Kind]
+	cores := k.Cores - m.FreeCores - (m.cores - m.newCores)
+	memory := k.Memory - m.FreeMemory - (m.memory - m.newMemory)
+	return max(0, cores/k.Cores, memory/k.Memory)
+}
+
 // recent is the history that counts: at most maxHistory binds, also within a step that brings thousands.
 func (p *Placer) recent() []*bind { return p.history[max(0, len(p.history)-maxHistory):] }
 
--- a/placer_test.go
+++ b/placer_test.go
@@ -369,6 +369,49 @@
 	}
 }
 
+// What others asked by the list's word counts in each run; our own part of that word counts once.
+func TestVoteStartsFromWhatOthersAsked(t *testing.T) {
+	c := config()
+	c.ListsFree = true
+	machines := fleet(2)
+	for i := range machines {
+		machines[i].FreeCores, machines[i].FreeMemory = 32, 100
+	}
+	machines[0].FreeCores = 12
+	p := start(t, c, machines)
+	for i := range 8 {
+		as := p.Step(time.Second, []Event{ask(fmt.Sprint("t", i), 0, time.Minute)})
+		if o := one(t, as); o.Machine != "m1" {
+			t.Errorf("offer %d went to the machine that others fill", i)
+		}
+	}
+	machines[0].FreeCores, machines[1].FreeCores = 32, 24 // the word now: m1 holds our eight, others have left
+	p.Step(4*time.Second, []Event{Listed{Machines: machines}})
+	for _, m := range p.order {
+		if o := p.others(m); o != 0 {
+			t.Errorf("%s: others hold %v of it, want nothing", m.ID, o)
+		}
+	}
+}
+
+// Ties go by size: an empty history must not fill the small machines first.
+func TestTiesGoBySize(t *testing.T) {
+	c := config()
+	c.Kinds = append(c.Kinds, Kind{"big", 96, 300})
+	machines := fleet(2)
+	machines[1].Kind = 1
+	p := start(t, c, machines)
+	n := 0
+	for range 1000 {
+		if p.vote(p.order).Kind == 1 {
+			n++
+		}
+	}
+	if n < 700 {
+		t.Errorf("the machine of three times the size got %d of 1000", n)
+	}
+}
+
 // Ties go at random: an empty history spreads evenly.
 func TestVoteTies(t *testing.T) {
 	p := start(t, config(), fleet(4))
