--- a/placer.go
+++ b/placer.go
@@ -155,7 +155,8 @@
 
 // restarted clears what was known of a machine's former life.
 func (p *Placer) restarted(m *machine) {
-	m.failBar, m.strikes, m.strained, m.fullBar, m.load = 0, 0, 0, 0, Load{}
+	m.health, m.strained, m.fullBar, m.load = health{}, 0, 0, Load{}
+	clear(m.classes)
 	p.forgetBinds(m, p.now)
 }
 
@@ -201,9 +202,8 @@
 	if a.m.window > 0 {
 		a.m.window = (a.m.window + 1) % maxWindow
 	}
-	if p.now-a.m.failedAt > forget {
-		a.m.strikes = 0
-	}
+	p.served(&a.m.health)
+	p.served(a.m.record(t.Class))
 }
 
 func (p *Placer) ended(e Ended) {
@@ -273,32 +273,70 @@
 
 // ---- Evidence: what outcomes, reports and notes say of a machine, each with an expiry.
 
-// strike bars a machine that failed us; each further failure within forget doubles the time.
-func (p *Placer) strike(m *machine) {
-	if p.now-m.failedAt > forget {
-		m.strikes = 0
+// strike bars what failed us; each further failure within forget doubles the time. The bar lasts until we
+// would come by again at least: one with few binds beside the machines would never feel a shorter bar.
+func (p *Placer) strike(h *health) {
+	if p.now-h.failedAt > forget {
+		h.strikes = 0
+	}
+	if p.now >= h.bar {
+		h.strikes = min(h.strikes+1, maxStrikes)
+	}
+	h.failedAt = p.now
+	h.bar = max(h.bar, p.now+max(baseBar<<h.strikes, p.visit()))
+}
+
+// visit is how long we take to come by a machine again, from the binds of the history; forget at most.
+func (p *Placer) visit() time.Duration {
+	if len(p.history) < several {
+		return 0
+	}
+	gap := (p.now - p.history[0].at) / time.Duration(len(p.history))
+	return min(forget, gap*time.Duration(len(p.order)))
+}
+
+// probe keeps others from following an offer to what failed us lately, until its outcome is known: so that
+// recovery is found by one task and not by all that wait.
+func (p *Placer) probe(h *health) {
+	if h.strikes > 0 {
+		h.bar = max(h.bar, p.now+baseBar)
 	}
-	if p.now >= m.failBar {
-		m.strikes = min(m.strikes+1, maxStrikes)
+}
+
+func (p *Placer) served(h *health) {
+	h.servedAt, h.bar = p.now, 0
+	if p.now-h.failedAt > forget {
+		h.strikes = 0
 	}
-	m.failedAt = p.now
-	m.failBar = max(m.failBar, p.now+baseBar<<m.strikes)
+}
+
+// failed tells a class's cause from a machine's: an error or silence belongs to the machine and class alone
+// where another class was served there lately, else to the machine too.
+func (p *Placer) failed(t *task, m *machine) {
+	p.strike(m.record(t.Class))
+	for class := range m.classes {
+		if h := m.record(class); class != t.Class && h.servedAt > 0 && p.now-h.servedAt < forget {
+			return
+		}
+	}
+	p.strike(&m.health)
 }
 
 // judge reads an outcome as evidence about its machine.
 func (p *Placer) judge(t *task, a *attempt, e Ended) {
 	m := a.m
 	switch e.Verdict {
-	case Failed, TimedOut, Unreachable:
-		p.strike(m)
-		m.window = 1
+	case Failed, TimedOut:
+		p.failed(t, m)
+	case Unreachable:
+		p.strike(&m.health)
 	case Lost:
 		switch e.Reason {
 		case Evicted, PushedOut:
 			m.strained = max(m.strained, p.now+2*strainBar)
 		case SentAway:
 		default:
-			p.strike(m)
+			p.strike(&m.health)
 		}
 	case Refused:
 		m.window = 1
@@ -505,7 +543,9 @@
 	// Tried already for this ask: another machine tells more.
 	keep(1, func(m *machine) bool { return !t.tried(m) })
 	// Failing, lost or out of reach. When over half are, the cause is not a machine.
-	keep(max(several, len(left)/2), func(m *machine) bool { return !p.failing(m) })
+	keep(max(several, len(left)/2), func(m *machine) bool { return p.now >= m.bar })
+	// Failing this class. That may be most machines: those that serve it are kept.
+	keep(several, func(m *machine) bool { return p.now >= m.record(t.Class).bar })
 	// Full as far as told. A refused offer is priced and uses up an attempt, so a task is held while no
 	// machine has room; late in its time it is tried once all the same, in case the evidence is wrong.
 	least := 0
@@ -531,11 +571,6 @@
 	return left
 }
 
-// failing: it failed lately, or did so and as many offers are out as may find whether it has recovered.
-func (p *Placer) failing(m *machine) bool {
-	return p.now < m.failBar || m.strikes > 0 && m.rushed()
-}
-
 // full: it lately refused such a size, or enough offers are out since to find out, or the list tells no room.
 // After a refusal one offer may be out, after each acceptance one more: else all tasks that were held go to
 // the first machine that takes one (incident i959772).
@@ -614,8 +649,8 @@
 // and when one is barred only its own services move. The next ranks fill up to several, since a vote among
 // one is none. It could hurt where a flush empties the homes: the bar then only narrows the vote.
 //
-// A machine is home to services in proportion to its size (weighted rendezvous hashing), since schedulers with
-// few binds of their own follow the homes far more than the replay.
+// A machine is home to services in proportion to its size (weighted rendezvous hashing), since schedulers
+// with few binds of their own follow the homes far more than the replay.
 func (p *Placer) homes(t *task, left []*machine) map[*machine]bool {
 	home := map[*machine]bool{}
 	for _, m := range left {
@@ -694,9 +729,9 @@
 	return left[p.least(left, func(i int) float64 { return -float64(votes[i]) })]
 }
 
-// others is what other schedulers have asked of m by the list's word, as a share of its kind; 0 where the list
-// tells no room. It is an exception to the empty fleet from which a run starts: with few own binds beside the
-// machines most would tie at none.
+// others is what other schedulers have asked of m by the list's word, as a share of its kind; 0 where the
+// list tells no room. It is an exception to the empty fleet from which a run starts: with few own binds
+// beside the machines most would tie at none.
 func (p *Placer) others(m *machine) float64 {
 	if !p.cfg.ListsFree {
 		return 0
@@ -723,17 +758,18 @@
 	return math.Exp(-float64(age) / float64(p.meanLife(b.class)))
 }
 
-// least returns the index of the least value. Ties go at random, in proportion to size: with few binds beside
-// the machines most of them tie at none, and a plain draw would fill the small ones first.
+// least returns the index of the least value. A tie goes to the better home, and at random where there are
+// none: with few binds beside the machines most tie at none, and a draw would have every service started anew
+// on each of its homes.
 func (p *Placer) least(left []*machine, value func(int) float64) int {
-	best, ties := 0, p.weight(left[0])
+	best, ties := 0, 1
 	for i := 1; i < len(left); i++ {
-		switch v, b := value(i), value(best); {
-		case v < b:
-			best, ties = i, p.weight(left[i])
-		case v == b:
-			w := p.weight(left[i])
-			if ties += w; p.rng.Float64()*ties < w {
+		d := cmp.Or(cmp.Compare(value(i), value(best)), cmp.Compare(left[best].rank, left[i].rank))
+		switch {
+		case d < 0:
+			best, ties = i, 1
+		case d == 0:
+			if ties++; p.rng.IntN(ties) == 0 {
 				best = i
 			}
 		}
@@ -800,6 +836,8 @@
 		return
 	}
 	p.occupy(t, m)
+	p.probe(&m.health)
+	p.probe(m.record(t.Class))
 	if p.cold(m) {
 		m.offers = slices.DeleteFunc(m.offers, func(at Time) bool { return p.now-at > 2*p.cfg.FallWindow })
 		m.offers = append(m.offers, p.now)
--- a/placer_test.go
+++ b/placer_test.go
@@ -394,21 +394,29 @@
 	}
 }
 
-// Ties go by size: an empty history must not fill the small machines first.
-func TestTiesGoBySize(t *testing.T) {
+// Ties go to the better home, and large machines are home to more services: with an empty history neither may
+// every service start anew on all of its homes, nor the small machines fill first.
+func TestTiesGoToTheBetterHome(t *testing.T) {
 	c := config()
 	c.Kinds = append(c.Kinds, Kind{"big", 96, 300})
-	machines := fleet(2)
-	machines[1].Kind = 1
-	p := start(t, c, machines)
-	n := 0
-	for range 1000 {
-		if p.vote(p.order).Kind == 1 {
-			n++
+	machines := fleet(8)
+	for i := range 4 {
+		machines[i].Kind = 1
+	}
+	p, q := start(t, c, machines), start(t, c, machines)
+	big := 0
+	for i := range 1000 {
+		one := &task{Task: Task{Service: fmt.Sprint("s", i), Cores: 1}, class: &c.Classes[0]}
+		m := p.choose(one)
+		if other := q.choose(one); other.ID != m.ID {
+			t.Fatalf("two schedulers chose %s and %s", m.ID, other.ID)
+		}
+		if m.Kind == 1 {
+			big++
 		}
 	}
-	if n < 700 {
-		t.Errorf("the machine of three times the size got %d of 1000", n)
+	if big < 700 || big > 800 {
+		t.Errorf("machines of three times the size got %d of 1000", big)
 	}
 }
 
@@ -482,27 +490,39 @@
 	one(t, p.Step(2*time.Second, []Event{Listed{Machines: full}}))
 }
 
-// After a refusal or failure one offer finds out whether a machine has recovered, without a rush onto it.
+// After a refusal one offer finds out whether a machine has recovered, without a rush onto it.
 func TestOneOfferFindsOut(t *testing.T) {
-	for _, v := range []Verdict{Refused, Failed} {
-		p := start(t, config(), fleet(1))
-		o := one(t, p.Step(time.Second, []Event{ask("t", 0, 2*time.Second)}))
-		e := Ended{Task: "t", Machine: o.Machine, Verdict: v, Done: true, Reason: NoCores}
-		p.Step(time.Second+ms, []Event{e})
-		now := 4 * time.Second
-		m := p.order[0]
-		held := func() bool { return p.full(&task{Task: ask("x", 0, 0).Task}, m) || p.failing(m) }
-		if p.now = now; held() {
-			t.Fatalf("verdict %d: still barred after its time", v)
-		}
-		m.waiting = 1
-		if !held() {
-			t.Errorf("verdict %d: a second offer at once", v)
-		}
-		m.window++ // as after an acceptance
-		if held() {
-			t.Errorf("verdict %d: no second offer after an acceptance", v)
-		}
+	p := start(t, config(), fleet(1))
+	o := one(t, p.Step(time.Second, []Event{ask("t", 0, 2*time.Second)}))
+	e := Ended{Task: "t", Machine: o.Machine, Verdict: Refused, Done: true, Reason: NoCores}
+	p.Step(time.Second+ms, []Event{e})
+	m := p.order[0]
+	full := func() bool { return p.full(&task{Task: ask("x", 0, 0).Task}, m) }
+	if p.now = 4 * time.Second; full() {
+		t.Fatal("still barred after its time")
+	}
+	m.waiting = 1
+	if !full() {
+		t.Error("a second offer at once")
+	}
+	m.window++ // as after an acceptance
+	if full() {
+		t.Error("no second offer after an acceptance")
+	}
+}
+
+// The same after a failure: the offer that probes keeps the others away until it is answered.
+func TestOneOfferFindsOutAfterAFailure(t *testing.T) {
+	p := start(t, config(), fleet(4))
+	h := p.order[2].record(0)
+	p.strike(h)
+	p.now = h.bar
+	p.probe(h)
+	if p.now >= h.bar {
+		t.Error("nothing keeps others from following the offer that probes")
+	}
+	if p.served(h); p.now < h.bar {
+		t.Error("barred though it served")
 	}
 }
 
@@ -510,14 +530,15 @@
 func TestFailuresEverywhereBarNobody(t *testing.T) {
 	p := start(t, config(), fleet(4))
 	for _, m := range p.order {
-		p.strike(m)
+		p.strike(&m.health)
+		p.strike(m.record(0))
 	}
 	one(t, p.Step(time.Second+ms, []Event{ask("t", 0, 9*time.Second)}))
 }
 
 func TestOneFailingMachineIsAvoided(t *testing.T) {
 	p := start(t, config(), fleet(4))
-	p.strike(p.order[2])
+	p.strike(&p.order[2].health)
 	for i := range 40 {
 		as := p.Step(time.Second+ms, []Event{ask(fmt.Sprint("t", i), 0, 9*time.Second)})
 		if o := one(t, as); o.Machine == "m2" {
@@ -526,6 +547,60 @@
 	}
 }
 
+// One class fails on most machines, another is served there: the first keeps to those that serve it, the other
+// goes on using all. Where nothing was served the machine itself is taken to fail.
+func TestClassThatFailsOnMostMachines(t *testing.T) {
+	c := config()
+	c.Classes = append(c.Classes, c.Classes[0])
+	p := start(t, c, fleet(8))
+	failing, other := &task{Task: Task{Class: 0}}, &task{Task: Task{Class: 1}}
+	failing.class, other.class = &p.cfg.Classes[0], &p.cfg.Classes[1]
+	for _, m := range p.order[:6] {
+		p.served(m.record(1))
+		p.failed(failing, m)
+	}
+	names := func(t *task) (out []string) {
+		for _, m := range p.order {
+			if p.now >= m.bar && p.now >= m.record(t.Class).bar {
+				out = append(out, m.ID)
+			}
+		}
+		return out
+	}
+	if got := names(failing); !slices.Equal(got, []string{"m6", "m7"}) {
+		t.Errorf("the failing class is left %v", got)
+	}
+	if got := names(other); len(got) != 8 {
+		t.Errorf("the other class is left %v", got)
+	}
+	for range 20 {
+		if m := p.choose(failing); m.ID != "m6" && m.ID != "m7" {
+			t.Errorf("the failing class went to %s", m.ID)
+		}
+	}
+	p.failed(failing, p.order[7])
+	if got := names(other); len(got) != 7 {
+		t.Errorf("a machine that served nothing is not barred: %v", got)
+	}
+}
+
+// With few binds beside the machines a bar lasts until we would come by again.
+func TestBarLastsAVisit(t *testing.T) {
+	p := start(t, config(), fleet(10))
+	for i := range 4 {
+		p.Step(time.Second+Time(i+1)*400*ms, []Event{ask(fmt.Sprint("t", i), 0, time.Minute)})
+	}
+	if h := &p.order[0].health; h.bar == 0 {
+		p.strike(h)
+		if h.bar-p.now < 2*time.Second {
+			t.Errorf("barred for %v", h.bar-p.now)
+		}
+	}
+	if p.visit() > forget {
+		t.Error("a visit is not bounded")
+	}
+}
+
 // State stays bounded.
 func TestStateIsBounded(t *testing.T) {
 	p := start(t, config(), fleet(3))
--- a/state.go
+++ b/state.go
@@ -38,12 +38,11 @@
 	hash      uint64 // of its ID: the same at every scheduler
 	listed    bool   // named by a list in this life of the scheduler
 	goneAt    Time
-	offers    []Time // recent offers, kept while the machine may be cold
-	failBar   Time   // no offers until then: it failed, was lost or could not be reached
-	strikes   int
-	failedAt  Time
-	strained  Time // until then: our tasks there are served badly or memory is short
-	fullBar   Time // until then it refuses tasks of fullSize or more
+	offers    []Time   // recent offers, kept while the machine may be cold
+	health             // of the machine as a whole
+	classes   []health // and of each class there
+	strained  Time     // until then: our tasks there are served badly or memory is short
+	fullBar   Time     // until then it refuses tasks of fullSize or more
 	fullSize  float64
 	fulls     int     // refusals in a row
 	viewAt    Time    // when the list last told its free room
@@ -59,6 +58,14 @@
 	rank      float64 // among the homes of the service in hand
 }
 
+// health is what outcomes say of a machine, or of a class there.
+type health struct {
+	bar      Time // no offers until then: it failed, was lost or could not be reached
+	strikes  int
+	failedAt Time
+	servedAt Time
+}
+
 type attempt struct {
 	m       *machine
 	sent    Time
@@ -117,7 +124,8 @@
 func (p *Placer) machine(id string) *machine {
 	m := p.machines[id]
 	if m == nil {
-		m = &machine{goneAt: p.now, services: map[string]int{}, hash: hash(id)}
+		m = &machine{goneAt: p.now, hash: hash(id), services: map[string]int{}}
+		m.classes = make([]health, len(p.cfg.Classes))
 		m.Machine = Machine{ID: id, Kind: -1, State: Out}
 		p.machines[id] = m
 		byID := func(m *machine, id string) int { return cmp.Compare(m.ID, id) }
@@ -127,6 +135,14 @@
 	return m
 }
 
+// record is the health of a class at m; the machine's own for a class that the settings don't name.
+func (m *machine) record(class int) *health {
+	if class < 0 || class >= len(m.classes) {
+		return &m.health
+	}
+	return &m.classes[class]
+}
+
 // occupy books a new attempt of t on m.
 func (p *Placer) occupy(t *task, m *machine) {
 	b := &bind{m: m, at: p.now, class: t.Class, cores: t.Cores, memory: t.Memory, hint: t.Life}
