--- a/placer.go
+++ b/placer.go
@@ -193,7 +193,9 @@
 	if a == nil || !a.live {
 		return
 	}
-	p.learnLag(p.now - a.sent)
+	lag := e.Lag.Seconds()
+	p.lagDev += (math.Abs(lag-p.lag) - p.lagDev) / 8
+	p.lag += (lag - p.lag) / 8
 	t.settled = true
 	p.seat(t, a)
 	a.m.fulls = max(a.m.fulls-1, 0)
@@ -326,9 +328,6 @@
 	switch e.Verdict {
 	case Failed, TimedOut:
 		p.failed(t, m)
-		if e.Verdict == TimedOut {
-			p.learnLag(p.now - a.sent)
-		}
 	case Unreachable:
 		p.strike(&m.health)
 	case Lost:
@@ -376,14 +375,6 @@
 	}
 }
 
-// learnLag follows the time from offer to answer, as TCP does. One that timed out counts with the time waited:
-// where machines answer late because many offers wait, giving up sooner only adds offers.
-func (p *Placer) learnLag(d time.Duration) {
-	lag := d.Seconds()
-	p.lagDev += (math.Abs(lag-p.lag) - p.lagDev) / 8
-	p.lag += (lag - p.lag) / 8
-}
-
 // learnLife ends a life of t's class; one cut short by its machine counts as not ended.
 func (p *Placer) learnLife(t *task, a *attempt, v Verdict) {
 	if l := p.life(t.Class); a.placed && l != nil {
@@ -861,8 +852,7 @@
 		return left
 	}
 	usual := time.Duration((p.lag + 4*p.lagDev) * float64(time.Second))
-	tries := time.Duration(max(p.cfg.MaxAttempts-len(t.attempts)+1, 1))
-	return min(left, max(min(usual, left/tries), t.class.Aim/2, 50*time.Millisecond))
+	return min(left, max(usual, t.class.Aim/2, 50*time.Millisecond))
 }
 
 // answerBy is the last moment to give the final answer; an attempt's time-out comes a tick earlier.
