--- a/placer.go
+++ b/placer.go
@@ -616,8 +616,10 @@
 	return cores >= t.Cores && memory >= t.Memory
 }
 
-// inUse names the machines that suffice for what the whole fleet is asked for now, filled to fleetFill, in an
-// order that all schedulers share. The others drain, where the settings price machines in use.
+// inUse names the machines that suffice for what the whole fleet is asked for now, filled to fleetFill, the
+// fullest by the list's word first: all schedulers share that order, and those left out empty the soonest.
+// The others drain, where the settings price machines in use. Could hurt where the fullest are the crowded
+// ones: the bars on strained and contradicted machines come after it for that.
 func (p *Placer) inUse(left []*machine) map[*machine]bool {
 	var cores, memory float64
 	for _, m := range p.order {
@@ -628,10 +630,8 @@
 		}
 	}
 	used := map[*machine]bool{}
-	order := ranked(left, "")
-	slices.SortStableFunc(order, func(a, b *machine) int {
-		return cmp.Compare(p.cfg.Kinds[b.Kind].Memory, p.cfg.Kinds[a.Kind].Memory)
-	})
+	order := slices.Clone(left)
+	slices.SortStableFunc(order, func(a, b *machine) int { return cmp.Compare(p.asked(b), p.asked(a)) })
 	for _, m := range order {
 		if cores <= 0 && memory <= 0 && len(used) > several {
 			break
@@ -742,6 +742,12 @@
 	return max(0, cores/k.Cores, memory/k.Memory)
 }
 
+// asked is the share of m that all schedulers together have asked for, by the list's word.
+func (p *Placer) asked(m *machine) float64 {
+	k := p.cfg.Kinds[m.Kind]
+	return max((k.Cores-m.FreeCores)/k.Cores, (k.Memory-m.FreeMemory)/k.Memory)
+}
+
 // recent is the history that counts: at most maxHistory binds, also within a step that brings thousands.
 func (p *Placer) recent() []*bind { return p.history[max(0, len(p.history)-maxHistory):] }
 
--- a/placer_test.go
+++ b/placer_test.go
@@ -692,6 +692,15 @@
 	if used := p.inUse(p.order); len(used) < 3 || len(used) > 4 {
 		t.Errorf("%d of 6 half-full machines in use", len(used))
 	}
+	for i := range ms {
+		ms[i].FreeMemory = 50 - float64(i%2)
+	}
+	p.Step(2*time.Second, []Event{Listed{Machines: ms}})
+	for _, id := range []string{"m1", "m3", "m5"} {
+		if !p.inUse(p.order)[p.machines[id]] {
+			t.Errorf("%s, one of the fullest, is not kept in use", id)
+		}
+	}
 }
 
 // What tenants ask beyond their share waits behind the others.
--- a/state.go
+++ b/state.go
@@ -209,16 +209,7 @@
 	return at == Everywhere
 }
 
-// ranked orders machines by a hash of their ID and salt: an order that schedulers share without talking.
-func ranked(ms []*machine, salt string) []*machine {
-	salted := hash(salt)
-	ms = slices.Clone(ms)
-	slices.SortFunc(ms, func(a, b *machine) int {
-		return cmp.Compare(mix(a.hash^salted), mix(b.hash^salted))
-	})
-	return ms
-}
-
+// hash is the same at every scheduler: what they derive from it they share without talking.
 func hash(s string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(s))
