--- a/placer.go
+++ b/placer.go
@@ -181,7 +181,7 @@
 
 // ask subscribes where changes must be asked for. A call that no answer came to is made again.
 func (p *Placer) ask() {
-	if p.askAt == 0 && p.started && !p.cfg.DiscoveryAsks || p.askAt == 0 || p.now < p.askAt {
+	if p.askAt == 0 || p.now < p.askAt {
 		return
 	}
 	p.do(Subscribe{})
@@ -199,8 +199,8 @@
 	t.settled = true
 	p.seat(t, a)
 	a.m.fulls = max(a.m.fulls-1, 0)
-	if a.m.window > 0 {
-		a.m.window = (a.m.window + 1) % maxWindow
+	if a.m.window++; a.m.window == 1 || a.m.window >= maxWindow {
+		a.m.window = 0 // it was not counted, or need not be any more
 	}
 	p.served(&a.m.health)
 	p.served(a.m.record(t.Class))
@@ -575,7 +575,8 @@
 // After a refusal one offer may be out, after each acceptance one more: else all tasks that were held go to
 // the first machine that takes one (incident i959772).
 func (p *Placer) full(t *task, m *machine) bool {
-	return p.now < m.fullBar && p.size(t, m) >= m.fullSize || m.rushed() || !p.room(t, m)
+	rushed := m.window > 0 && m.waiting >= m.window
+	return p.now < m.fullBar && p.size(t, m) >= m.fullSize || rushed || !p.room(t, m)
 }
 
 // told is the load that a machine's last report tells; 0 without a fresh one.
--- a/state.go
+++ b/state.go
@@ -241,6 +241,3 @@
 func (t *task) tried(m *machine) bool {
 	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return a.m == m })
 }
-
-// rushed: as many offers wait at m as may since it last said no.
-func (m *machine) rushed() bool { return m.window > 0 && m.waiting >= m.window }
