--- a/placer.go
+++ b/placer.go
@@ -65,6 +65,7 @@
 		}
 	}
 	p.now, p.out = max(now, p.now), nil
+	p.steps++
 	if p.wakes <= p.now {
 		p.wakes = 0
 	}
@@ -605,16 +606,19 @@
 	k := p.cfg.Kinds[m.Kind]
 	cores := m.FreeCores + (p.cfg.AcceptCores-1)*k.Cores
 	memory := m.FreeMemory + (p.cfg.AcceptMemory-1)*k.Memory
-	for _, b := range slices.Backward(p.recent()) {
-		if b.at < m.viewAt-listLate {
-			break
-		}
-		if b.m == m && !b.off {
-			cores -= b.cores
-			memory -= b.memory
+	if m.lateIn != p.steps { // once a step, since thousands may wait; occupy adds to it
+		m.lateIn, m.lateCores, m.lateMemory = p.steps, 0, 0
+		for _, b := range slices.Backward(p.recent()) {
+			if b.at < m.viewAt-listLate {
+				break
+			}
+			if b.m == m && !b.off {
+				m.lateCores += b.cores
+				m.lateMemory += b.memory
+			}
 		}
 	}
-	return cores >= t.Cores && memory >= t.Memory
+	return cores-m.lateCores >= t.Cores && memory-m.lateMemory >= t.Memory
 }
 
 // inUse names the machines that suffice for what the whole fleet is asked for now, filled to fleetFill, the
--- a/state.go
+++ b/state.go
@@ -17,6 +17,7 @@
 	now      Time
 	born     Time
 	started  bool
+	steps    int
 	out      []Action
 	machines map[string]*machine
 	order    []*machine // by ID
@@ -35,27 +36,29 @@
 
 type machine struct {
 	Machine
-	hash      uint64 // of its ID: the same at every scheduler
-	listed    bool   // named by a list in this life of the scheduler
-	goneAt    Time
-	offers    []Time   // recent offers, kept while the machine may be cold
-	health             // of the machine as a whole
-	classes   []health // and of each class there
-	strained  Time     // until then: our tasks there are served badly or memory is short
-	fullBar   Time     // until then it refuses tasks of fullSize or more
-	fullSize  float64
-	fulls     int     // refusals in a row
-	viewAt    Time    // when the list last told its free room
-	window    int     // so many offers may wait there for their answer; 0: any number
-	waiting   int     // our offers there without an answer yet
-	newCores  float64 // asked by our binds since the list's last word
-	newMemory float64
-	load      Load
-	loadAt    Time
-	services  map[string]int // our attempts and tasks there, by service
-	cores     float64        // asked by them
-	memory    float64
-	rank      float64 // among the homes of the service in hand
+	hash                  uint64 // of its ID: the same at every scheduler
+	listed                bool   // named by a list in this life of the scheduler
+	goneAt                Time
+	offers                []Time   // recent offers, kept while the machine may be cold
+	health                         // of the machine as a whole
+	classes               []health // and of each class there
+	strained              Time     // until then: our tasks there are served badly or memory is short
+	fullBar               Time     // until then it refuses tasks of fullSize or more
+	fullSize              float64
+	fulls                 int     // refusals in a row
+	viewAt                Time    // when the list last told its free room
+	window                int     // so many offers may wait there for their answer; 0: any number
+	waiting               int     // our offers there without an answer yet
+	lateIn                int     // the step for which lateCores and lateMemory hold
+	lateCores, lateMemory float64 // asked by our binds that the list's word may lack
+	newCores              float64 // asked by our binds since the list's last word
+	newMemory             float64
+	load                  Load
+	loadAt                Time
+	services              map[string]int // our attempts and tasks there, by service
+	cores                 float64        // asked by them
+	memory                float64
+	rank                  float64 // among the homes of the service in hand
 }
 
 // health is what outcomes say of a machine, or of a class there.
@@ -153,6 +156,8 @@
 	m.memory += t.Memory
 	m.newCores += t.Cores
 	m.newMemory += t.Memory
+	m.lateCores += t.Cores
+	m.lateMemory += t.Memory
 	m.waiting++
 	p.tenants[t.Tenant] += t.Cores
 }
