Votes read the candidates' own binds; emulated parties sort their messages once a window

Need: at 10,000 machines a choice spent its time on the ranks of new services and on the whole history, the emulator on inserting messages one by one.

Change: ranks are searched in one array a kind; the binds of a few candidates are merged from their machines' lists; an inbox notes messages and sorts them when the next is wanted.

--- a/index.go
+++ b/index.go
@@ -46,12 +46,18 @@
 	allCores, allMemory   float64 // sums of the terms
 	summed                bool
 
-	lateStep   int // the step for which the late sums hold
-	lateAt     int // length of the history when they were made
-	late       []*machine
-	seen       *bitset.BitSet // asked for their room in this step
-	held       map[alike]bool // tasks that ask so find nothing, until something is offered
-	candidates []candidate    // of the choice in hand
+	lateStep    int // the step for which the late sums hold
+	lateAt      int // length of the history when they were made
+	late        []*machine
+	seen        *bitset.BitSet // asked for their room in this step
+	held        map[alike]bool // tasks that ask so find nothing, until something is offered
+	candidates  []candidate    // of the choice in hand
+	packed      []column       // by kind, as of packedShape
+	need        []uint64       // by kind: the least hash of those that rank among the first few
+	packedShape int
+	top         []ranked
+	replayed    []replayed
+	binds       []*bind
 }
 
 // place is a cell or zone.
@@ -393,7 +399,7 @@
 // ---- Ranks of homes.
 
 // topRanked is how many of a service's best machines are kept by rank.
-const topRanked = 24
+const topRanked = 12
 
 // rankKey orders machines as homes of a service, see rank: among machines of one weight u alone tells.
 type rankKey struct{ u, weight float64 }
@@ -448,31 +454,103 @@
 // rankTop finds the machines that rank best of all. A hash is compared with what a machine of its weight needs in
 // order to be among the first few in expectation, so hardly any logarithm is taken.
 func (x *index) rankTop(s *service) {
+	if x.packedShape != x.shape {
+		x.pack()
+	}
 	s.shape, s.top = x.shape, s.top[:0]
+	top := x.top[:0]
+	for k := range x.packed {
+		c, need := &x.packed[k], x.need[k]
+		for j, h := range c.hashes {
+			if mix(h^s.hash)>>11 >= need {
+				i := c.at[j]
+				top = append(top, ranked{i, x.rankKey(s, i)})
+			}
+		}
+	}
+	slices.SortFunc(top, func(a, b ranked) int { return b.k.compare(a.k) })
+	for _, r := range top {
+		s.top = append(s.top, r.i)
+	}
+	x.top = top
+}
+
+// ranked is a machine with its rank.
+type ranked struct {
+	i int32
+	k rankKey
+}
+
+// column is the machines of one kind side by side.
+type column struct {
+	hashes []uint64
+	at     []int32
+}
+
+// pack lays the machines of each kind side by side.
+func (x *index) pack() {
+	x.packedShape = x.shape
+	x.packed, x.need = make([]column, len(x.weights)), make([]uint64, len(x.weights))
 	all := 0.0
-	for _, k := range x.kind {
+	for i, k := range x.kind {
 		if k >= 0 {
 			all += x.weights[k]
+			c := &x.packed[k]
+			c.hashes, c.at = append(c.hashes, x.hashes[i]), append(c.at, int32(i))
 		}
 	}
-	need := make([]uint64, len(x.weights))
 	for k, w := range x.weights {
-		need[k] = uint64(math.Exp(-topRanked/all*w) * (1 << 53))
+		x.need[k] = uint64(math.Exp(-topRanked/all*w) * (1 << 53))
+	}
+}
+
+// ---- The history by machine.
+
+// bindsOf is the recent binds of the candidates that x.pick marks, in the order of the history. Where they are few
+// their machines' own lists are merged, else the whole history is read.
+func (p *Placer) bindsOf(list []candidate) []*bind {
+	recent, out := p.recent(), p.index.binds[:0]
+	if len(recent) == 0 {
+		return nil
 	}
-	type ranked struct {
-		i int32
-		k rankKey
+	n, first := 0, recent[0].serial
+	for _, c := range list {
+		n += len(p.order[c.i].binds)
+		if n > len(recent)/4 {
+			break
+		}
 	}
-	var top []ranked
-	for i, k := range x.kind {
-		if k >= 0 && mix(x.hashes[i]^s.hash)>>11 >= need[k] {
-			top = append(top, ranked{int32(i), x.rankKey(s, int32(i))})
+	if n > len(recent)/4 {
+		for _, b := range recent {
+			if !b.off && b.m.at >= 0 && p.index.pick[b.m.at] > 0 && b.m.Kind >= 0 {
+				out = append(out, b)
+			}
+		}
+	} else {
+		for _, c := range list {
+			for _, b := range p.order[c.i].binds {
+				if !b.off && b.serial >= first && b.m.Kind >= 0 {
+					out = append(out, b)
+				}
+			}
 		}
+		slices.SortFunc(out, func(a, b *bind) int { return cmp.Compare(a.serial, b.serial) })
 	}
-	slices.SortFunc(top, func(a, b ranked) int { return b.k.compare(a.k) })
-	for _, r := range top {
-		s.top = append(s.top, r.i)
+	p.index.binds = out
+	return out
+}
+
+// bound adds a bind to its machine's list, from which those that left the history go.
+func (p *Placer) bound(b *bind) {
+	p.binds++
+	b.serial = p.binds
+	old := 0
+	if h := p.recent(); len(h) > 0 {
+		for old < len(b.m.binds) && b.m.binds[old].serial < h[0].serial {
+			old++
+		}
 	}
+	b.m.binds = append(append(b.m.binds[:0], b.m.binds[old:]...), b)
 }
 
 // ---- Room that the list's word may lack.
--- a/internal/lab/emulator/emulator_test.go
+++ b/internal/lab/emulator/emulator_test.go
@@ -151,10 +151,13 @@
 
 // BenchmarkScale reports simulated seconds a second of wall time, and the cost of a message.
 func BenchmarkScale(b *testing.B) {
-	for _, c := range []struct{ nodes, schedulers int }{{33, 20}, {130, 100}, {1000, 100}, {10000, 20}} {
+	for _, c := range []struct {
+		nodes, schedulers int
+		seconds           float64
+	}{{33, 20, 30}, {130, 100, 30}, {1000, 100, 5}, {10000, 20, 3}} {
 		for _, workers := range []int{1, 4} {
 			b.Run(fmt.Sprintf("nodes=%d/schedulers=%d/workers=%d", c.nodes, c.schedulers, workers), func(b *testing.B) {
-				d := scaled(b, c.nodes, c.schedulers, 3)
+				d := scaled(b, c.nodes, c.schedulers, c.seconds)
 				var simulated, wall float64
 				var messages int64
 				for b.Loop() {
--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -167,28 +167,70 @@
 	wg.Wait()
 }
 
-// inbox keeps messages in the order of their times.
-type inbox struct{ waiting []message }
+// inbox keeps messages in the order of their times. New ones are only noted; they are sorted in when the next is wanted,
+// all at once, since a busy party gets hundreds in one window in no order.
+type inbox struct {
+	waiting []message // in order
+	fresh   []message
+	first   Time // of fresh
+	taken   []message
+}
 
 func (b *inbox) put(m message) {
-	i := len(b.waiting)
-	for i > 0 && b.waiting[i-1].at > m.at {
-		i--
+	if len(b.fresh) == 0 || m.at < b.first {
+		b.first = m.at
 	}
-	b.waiting = slices.Insert(b.waiting, i, m)
+	b.fresh = append(b.fresh, m)
 }
 
-// due takes the messages before end.
+// merge sorts the new ones in, behind others of the same time.
+func (b *inbox) merge() {
+	if len(b.fresh) == 0 {
+		return
+	}
+	byTime := func(x, y message) int { return cmp.Compare(x.at, y.at) }
+	slices.SortStableFunc(b.fresh, byTime)
+	if n := len(b.waiting); n == 0 || b.waiting[n-1].at <= b.fresh[0].at {
+		b.waiting = append(b.waiting, b.fresh...)
+	} else {
+		from, _ := slices.BinarySearchFunc(b.waiting, b.fresh[0].at+1, func(m message, t Time) int { return cmp.Compare(m.at, t) })
+		tail := append(slices.Clone(b.waiting[from:]), b.fresh...)
+		slices.SortStableFunc(tail, byTime)
+		b.waiting = append(b.waiting[:from], tail...)
+	}
+	clear(b.fresh)
+	b.fresh = b.fresh[:0]
+}
+
+// due takes the messages before end. They are valid until the next call.
 func (b *inbox) due(end Time) []message {
+	if b.next() >= end {
+		return nil
+	}
+	b.merge()
 	i, _ := slices.BinarySearchFunc(b.waiting, end, func(m message, t Time) int { return cmp.Compare(m.at, t) })
-	out := slices.Clone(b.waiting[:i])
+	clear(b.taken)
+	b.taken = append(b.taken[:0], b.waiting[:i]...)
 	b.waiting = slices.Delete(b.waiting, 0, i)
-	return out
+	return b.taken
+}
+
+// pop takes the first message; there must be one.
+func (b *inbox) pop() message {
+	b.merge()
+	m := b.waiting[0]
+	b.waiting[0] = message{}
+	b.waiting = b.waiting[1:]
+	return m
 }
 
 func (b *inbox) next() Time {
-	if len(b.waiting) == 0 {
-		return math.MaxInt64
+	next := Time(math.MaxInt64)
+	if len(b.waiting) > 0 {
+		next = b.waiting[0].at
+	}
+	if len(b.fresh) > 0 {
+		next = min(next, b.first)
 	}
-	return b.waiting[0].at
+	return next
 }
--- a/internal/lab/emulator/inventory.go
+++ b/internal/lab/emulator/inventory.go
@@ -39,8 +39,7 @@
 			v.send(at, v.model.Advance(at), out)
 			continue
 		}
-		m := v.in.waiting[0]
-		v.in.waiting = v.in.waiting[1:]
+		m := v.in.pop()
 		switch b := m.body.(type) {
 		case frame:
 			v.send(at, v.model.Receive(at, v.name(m.from), b.Frame), out)
--- a/internal/lab/emulator/node.go
+++ b/internal/lab/emulator/node.go
@@ -87,8 +87,7 @@
 			n.due(at, out)
 			continue
 		}
-		m := n.in.waiting[0]
-		n.in.waiting = n.in.waiting[1:]
+		m := n.in.pop()
 		n.handle(m, out)
 		if n.model != nil && n.model.Dead() {
 			n.fall(at, out)
--- a/placer.go
+++ b/placer.go
@@ -813,17 +813,9 @@
 	for n, c := range list {
 		x.pick[c.i] = int32(n) + 1
 	}
-	type replayed struct {
-		n             int32
-		cores, memory float64
-		alive         uint64 // chance that the drawn life reaches to now, in 1<<53rds
-	}
 	touched := make([]bool, len(list))
-	rs := make([]replayed, 0, 64)
-	for _, b := range p.recent() {
-		if b.off || b.m.at < 0 || x.pick[b.m.at] == 0 || b.m.Kind < 0 {
-			continue
-		}
+	rs := x.replayed[:0]
+	for _, b := range p.bindsOf(list) {
 		n := x.pick[b.m.at] - 1
 		k := p.cfg.Kinds[b.m.Kind]
 		touched[n] = true
@@ -862,9 +854,17 @@
 		}
 		votes[p.least(live, loads)]--
 	}
+	x.replayed = rs
 	return p.order[live[p.least(live, votes)].i]
 }
 
+// replayed is a bind of the history in the vote in hand.
+type replayed struct {
+	n             int32 // the candidate
+	cores, memory float64
+	alive         uint64 // chance that the drawn life reaches to now, in 1<<53rds
+}
+
 // others is what other schedulers have asked of m by the list's word, as a share of its kind; 0 where the
 // list tells no room. It is an exception to the empty fleet from which a run starts: with few own binds
 // beside the machines most would tie at none.
--- a/placer_test.go
+++ b/placer_test.go
@@ -371,6 +371,7 @@
 	for i, hint := range []time.Duration{20 * time.Second, time.Second, 20 * time.Second} {
 		b := &bind{m: p.order[i], at: 5 * time.Second, cores: 4, memory: 1, hint: hint}
 		p.history = append(p.history, b)
+		p.bound(b)
 	}
 	for range 50 {
 		if m := p.vote(everyone(p)); m.ID != "m1" {
@@ -387,6 +388,9 @@
 		{m: p.order[0], at: p.now, cores: 1, memory: 50, hint: time.Hour},
 		{m: p.order[1], at: p.now, cores: 8, memory: 1, hint: time.Hour},
 	}
+	for _, b := range p.history {
+		p.bound(b)
+	}
 	if m := p.vote(everyone(p)); m.ID != "m1" {
 		t.Errorf("named %s", m.ID)
 	}
--- a/state.go
+++ b/state.go
@@ -21,6 +21,7 @@
 	services  map[string]*service
 	outs      []*machine // that are out, and may have come back since
 	offs      int        // binds that left the history since it was pruned
+	binds     uint64     // made so far
 	now       Time
 	born      Time
 	started   bool
@@ -69,7 +70,8 @@
 	at                    int  // its number in the index; -1: none
 	dirty                 bool // it waits for review
 	due                   dueheap.Item[*machine]
-	zone, cell            *place // nil: not listed
+	zone, cell            *place  // nil: not listed
+	binds                 []*bind // ours, in order; some may have left the history
 }
 
 // health is what outcomes say of a machine, or of a class there.
@@ -111,6 +113,7 @@
 	cores, memory float64
 	hint          time.Duration
 	off           bool // it left the history
+	serial        uint64
 }
 
 // lifetime is what a class's lives add up to: a censored mean, see meanLife.
@@ -168,6 +171,7 @@
 func (p *Placer) occupy(t *task, m *machine) {
 	b := &bind{m: m, at: p.now, class: t.Class, cores: t.Cores, memory: t.Memory, hint: t.Life}
 	p.history = append(p.history, b)
+	p.bound(b)
 	t.attempts = append(t.attempts, attempt{m: m, sent: p.now, live: true, history: b})
 	p.enter(t.Service, m)
 	m.cores += t.Cores
