--- a/cmd/flaxshelf/serve.go
+++ b/cmd/flaxshelf/serve.go
@@ -10,6 +10,7 @@
 
 type serveCmd struct {
 	Config string `required:"" type:"path" placeholder:"FILE" help:"Configuration, a CUE file as #Scheduler of the schema."`
+	Cores  int    `placeholder:"N" help:"Decide on so many cores instead of what the file says."`
 	Listen string `placeholder:"ADDRESS" help:"Listen here instead of where the file says."`
 }
 
@@ -23,6 +24,12 @@
 	if c.Listen != "" {
 		set.Listen = c.Listen
 	}
+	if c.Cores != 0 {
+		set.Cores = c.Cores
+		if err := set.Divisible(); err != nil {
+			return fmt.Errorf("--cores: %w", err)
+		}
+	}
 	d, err := daemon.Start(set, logger(e.err, set.Log))
 	if err != nil {
 		return err
--- a/internal/daemon/client.go
+++ b/internal/daemon/client.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"flaxshelf.example/flaxshelf/drmaa2"
 	"flaxshelf.example/flaxshelf/internal/codec/httpcodec"
 	"flaxshelf.example/flaxshelf/internal/front/drmaafront"
 	"flaxshelf.example/flaxshelf/internal/scheduler"
+	"flaxshelf.example/flaxshelf/internal/shard"
 	"flaxshelf.example/flaxshelf/internal/transport"
 )
 
@@ -112,7 +114,8 @@
 		return
 	}
 	p.busy = true
-	m := message{in: numbered{call: call.Input}, came: time.Now()}
+	m := message{came: time.Now()}
+	e := &events{p: p, c: c, gone: new(atomic.Bool)}
 	m.reply = func(a *scheduler.Answer) {
 		answer := *a
 		c.Do(512, func(func([]byte)) {
@@ -120,21 +123,20 @@
 				p.streaming = true
 				c.Keep()
 				c.Write(call.Encode(&answer))
+				e.begin(c.Write)
 				return
 			}
+			e.gone.Store(true)
 			p.busy = false
 			p.answer(c, call, call.Encode(&answer))
 			c.Resume()
 		})
 	}
 	if call.Stream {
-		m.stream = func(i *scheduler.Info) bool {
-			info := *i
-			return c.Do(512, func(write func([]byte)) { write(p.d.front.Event(&info)) }) && !c.Gone()
-		}
-		m.beat = func() bool { return c.Send(drmaafront.Beat()) && !c.Gone() }
+		e.at = shard.ParsePosition(call.Since, len(p.d.cores))
 	}
-	if !p.d.offer(m) {
+	if !p.d.ask(call, m, e) {
+		e.gone.Store(true)
 		p.busy = false
 		p.answer(c, call, drmaafront.Busy(call.Closes))
 	}
--- a/internal/daemon/inventory.go
+++ b/internal/daemon/inventory.go
@@ -1,11 +1,12 @@
 package daemon
 
 import (
-	"fmt"
+	"errors"
 
 	"flaxshelf.example/flaxshelf/internal/codec/nodeframe"
 	"flaxshelf.example/flaxshelf/internal/front/nodefront"
 	"flaxshelf.example/flaxshelf/internal/scheduler"
+	"flaxshelf.example/flaxshelf/internal/shard"
 	"flaxshelf.example/flaxshelf/internal/transport"
 )
 
@@ -29,42 +30,52 @@
 			return used, err
 		}
 		used += n
-		m := message{from: c}
+		var m message
 		var failed bool
 		if m.in, m.addrs, failed, err = p.front.Input(f); err != nil {
 			return used, err
 		}
 		switch {
 		case f.GetWelcome() != nil:
-			m.in = listUp{}
+			p.d.list.Store(c)
+			continue
 		case failed:
 			p.d.log.Warn().Str("reason", f.GetListError().Message).Msg("the inventory fails")
 			m.in = listError{}
 		case m.in == nil:
 			continue
 		}
-		if !p.d.offer(m) {
-			return used, fmt.Errorf("daemon: too much waits for the core")
+		if t, ok := m.in.(scheduler.Synced); ok {
+			core, token := shard.Untoken(t.Token)
+			if core < len(p.d.cores) && !p.d.cores[core].offer(message{in: scheduler.Synced{Token: token}}) {
+				return used, errBehind
+			}
+			continue
+		}
+		if !p.d.offerAll(m) {
+			return used, errBehind
 		}
 	}
 }
 
-// Closed implements transport.Peer; the link tells the owner.
+var errBehind = errors.New("daemon: too much waits for a core")
+
+// Closed implements transport.Peer; the link tells the owners.
 func (p *inventoryPeer) Closed(_ *transport.Conn, why error) {
 	p.d.log.Warn().Err(why).Msg("the connection to the inventory has closed")
 }
 
 // subscribe asks for the list and its changes. Without a connection the call has failed at once.
-func (d *Daemon) subscribe() {
-	if d.list == nil || !d.list.Send(encode(nodefront.Watch())) {
-		d.again(scheduler.ListFailed{})
-	}
+func (c *core) subscribe() { c.tellList(encode(nodefront.Watch())) }
+
+func (c *core) sync(token uint64) {
+	c.d.log.Warn().Int("core", c.i).Msg("the scheduler was stopped for a while; it asks the inventory before it places anything")
+	c.tellList(encode(nodefront.Ping(shard.Token(c.i, token))))
 }
 
-func (d *Daemon) sync(token uint64) {
-	d.log.Warn().Msg("the scheduler was stopped for a while; it asks the inventory before it places anything")
-	if d.list == nil || !d.list.Send(encode(nodefront.Ping(token))) {
-		d.again(scheduler.ListFailed{})
+func (c *core) tellList(b []byte) {
+	if list := c.d.list.Load(); list == nil || list.Gone() || !list.Send(b) {
+		c.again(scheduler.ListFailed{})
 	}
 }
 
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -3,25 +3,84 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 
 	"flaxshelf.example/flaxshelf/internal/clock"
 	"flaxshelf.example/flaxshelf/internal/codec/nodeframe"
 	"flaxshelf.example/flaxshelf/internal/codec/nodeframe/nodepb"
 	"flaxshelf.example/flaxshelf/internal/front/nodefront"
 	"flaxshelf.example/flaxshelf/internal/scheduler"
+	"flaxshelf.example/flaxshelf/internal/shard"
 	"flaxshelf.example/flaxshelf/internal/transport"
 )
 
-// nodeLink is the owner's end of the connection to a node.
+// nodes is the connections to nodes, one to each for all cores. It is safe for concurrent use.
+type nodes struct {
+	mu sync.Mutex
+	m  map[string]*nodeLink
+}
+
+// nodeLink is the connection to a node, kept while a core asks for it.
 type nodeLink struct {
+	addr string
+	link *transport.Link
+	by   map[int]bool // the cores that ask for it
+}
+
+// wanted tells whether a core asks for the node.
+func (n *nodes) wanted(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.m[name] != nil
+}
+
+// want has a connection kept for a core from now on, made by link unless one to the address is there.
+func (n *nodes) want(core int, name, addr string, link func() *transport.Link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.m[name]
+	if l != nil && l.addr == addr {
+		l.by[core] = true
+		return
+	}
+	by := map[int]bool{}
+	if l != nil {
+		l.link.Cancel()
+		by = l.by
+	}
+	by[core] = true
+	n.m[name] = &nodeLink{addr: addr, link: link(), by: by}
+}
+
+// unwant gives a connection up for a core, and wholly for the last.
+func (n *nodes) unwant(core int, name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.m[name]; l != nil {
+		if delete(l.by, core); len(l.by) == 0 {
+			delete(n.m, name)
+			l.link.Cancel()
+		}
+	}
+}
+
+// outgoing is one core's end of the connection to a node.
+type outgoing struct {
 	name   string
-	addr   string
-	link   *transport.Link
 	conn   *transport.Conn // nil until the node has welcomed us
 	out    []byte          // encoded frames of the step in hand
 	offers []offerAt       // where offers are among them
 }
 
+func (c *core) link(name string) *outgoing {
+	l := c.links[name]
+	if l == nil {
+		l = &outgoing{name: name}
+		c.links[name] = l
+	}
+	return l
+}
+
 // offerAt is an offer among encoded frames.
 type offerAt struct {
 	attempt    string
@@ -29,7 +88,7 @@
 }
 
 // put encodes a frame behind those of the step.
-func (l *nodeLink) put(f *nodepb.Frame) {
+func (l *outgoing) put(f *nodepb.Frame) {
 	var err error
 	if l.out, err = nodeframe.Append(l.out, f); err != nil { // every field is bounded where it comes in
 		panic(fmt.Sprintf("daemon: a frame can't be sent: %v", err))
@@ -46,11 +105,11 @@
 
 // putOffer encodes an offer. The messages are the owner's scratch: allocating them anew for each offer showed in
 // profiles.
-func (d *Daemon) putOffer(l *nodeLink, e *scheduler.SendOffer) {
-	nodefront.Task(d.set, e, &d.scratch.task)
-	d.scratch.offer.Attempt, d.scratch.offer.ValidForNs = e.Attempt, int64(e.ValidFor)
+func (c *core) putOffer(l *outgoing, e *scheduler.SendOffer) {
+	nodefront.Task(c.d.set, e, &c.scratch.task)
+	c.scratch.offer.Attempt, c.scratch.offer.ValidForNs = e.Attempt, int64(e.ValidFor)
 	begin := len(l.out)
-	l.put(&d.scratch.frame)
+	l.put(&c.scratch.frame)
 	l.offers = append(l.offers, offerAt{e.Attempt, begin, len(l.out)})
 }
 
@@ -68,17 +127,17 @@
 
 // flush hands a step's frames to the node's loop. Risk covered: a process that is stopped between the decision
 // and the write would send an offer long after word of a drain; such offers come back unsent.
-func (d *Daemon) flush(l *nodeLink, decided scheduler.Time) {
+func (c *core) flush(l *outgoing, decided scheduler.Time) {
 	out, offers := l.out, l.offers
 	l.out, l.offers = nil, nil
-	limit := d.set.Rules.DrainGrace.Of() / 2
+	limit := c.d.set.Rules.DrainGrace.Of() / 2
 	name := l.name
 	sent := l.conn.Do(len(out), func(write func([]byte)) {
 		if len(offers) > 0 && clock.Now()-decided >= limit {
 			at := 0
 			for _, o := range offers {
 				write(out[at:o.begin])
-				d.late(name, o.attempt)
+				c.late(name, o.attempt)
 				at = o.end
 			}
 			out = out[at:]
@@ -87,44 +146,39 @@
 	})
 	if !sent { // the connection is being cut off; what was not written has not run
 		for _, o := range offers {
-			d.late(name, o.attempt)
+			c.late(name, o.attempt)
 		}
 	}
 }
 
 // late gives an offer back that was never written.
-func (d *Daemon) late(node, attempt string) { d.again(scheduler.NotSent{Node: node, Attempt: attempt}) }
+func (c *core) late(node, attempt string) { c.again(scheduler.NotSent{Node: node, Attempt: attempt}) }
 
 // connect keeps a connection to a node from now on.
-func (d *Daemon) connect(name string) {
-	addr := d.addrs[name]
-	if l := d.links[name]; l != nil {
-		if l.addr == addr {
-			return
-		}
-		l.link.Cancel()
-	}
-	l := &nodeLink{name: name, addr: addr}
-	d.links[name] = l
-	l.link = d.dialer.Link(addr, d.set.Connect.Of(), backoff,
-		func() transport.Peer {
-			return &nodePeer{d: d, name: name, front: nodefront.Node{Set: d.set, Name: name}}
-		},
-		func(err error) {
-			d.log.Debug().Err(err).Str("node", name).Msg("no connection to the node")
-			d.pass(message{in: scheduler.NodeDown{Node: name}})
-		})
-}
-
-func (d *Daemon) ping() {
+func (c *core) connect(name string) {
+	d, addr := c.d, c.addrs[name]
+	d.nodes.want(c.i, name, addr, func() *transport.Link {
+		return d.dialer.Link(addr, d.set.Connect.Of(), backoff,
+			func() transport.Peer {
+				return &nodePeer{d: d, name: name, front: nodefront.Node{Set: d.set, Name: name}}
+			},
+			func(err error) {
+				d.log.Debug().Err(err).Str("node", name).Msg("no connection to the node")
+				d.passAll(scheduler.NodeDown{Node: name})
+			})
+	})
+}
+
+// ping asks all peers for a sign of life; one core does it for all.
+func (c *core) ping() {
 	b := encode(nodefront.Ping(0))
-	for _, l := range d.links {
+	for _, l := range c.links {
 		if l.conn != nil {
 			l.conn.Send(append([]byte(nil), b...))
 		}
 	}
-	if d.list != nil {
-		d.list.Send(b)
+	if list := c.d.list.Load(); list != nil {
+		list.Send(b)
 	}
 }
 
@@ -151,14 +205,43 @@
 		if err != nil {
 			return used, err
 		}
-		if input != nil && !p.d.offer(message{in: input, from: c}) {
+		if input != nil && !p.d.hear(input, c) {
 			// The node keeps what it holds and tells it anew at the next welcome.
 			return used, errors.New("daemon: too much waits for the core")
 		}
 	}
 }
 
-// Closed implements transport.Peer; the link tells the owner.
+// hear passes a node's word to the cores that it is for. It is false where one has no room.
+func (d *Daemon) hear(in scheduler.Input, from *transport.Conn) bool {
+	one := func(attempt string) bool { return d.cores[d.shards.Attempt(attempt)].offer(message{in: in}) }
+	switch in := in.(type) {
+	case scheduler.NodeUp:
+		ok := true
+		for i, part := range d.shards.Split(in) {
+			ok = d.cores[i].offer(message{in: part, from: from}) && ok
+		}
+		return ok
+	case scheduler.Accepted:
+		return one(in.Attempt)
+	case scheduler.Refused:
+		return one(in.Attempt)
+	case scheduler.Failed:
+		return one(in.Attempt)
+	case scheduler.Started:
+		return one(in.Attempt)
+	case scheduler.Noted:
+		return one(in.Attempt)
+	case scheduler.Ended:
+		return one(in.Attempt)
+	case scheduler.NodeSynced:
+		core, token := shard.Untoken(in.Token)
+		return core >= len(d.cores) || d.cores[core].offer(message{in: scheduler.NodeSynced{Node: in.Node, Token: token}})
+	}
+	return d.offerAll(message{in: in})
+}
+
+// Closed implements transport.Peer; the link tells the owners.
 func (p *nodePeer) Closed(_ *transport.Conn, why error) {
 	p.d.log.Debug().Err(why).Str("node", p.name).Msg("the connection to the node has closed")
 }
--- a/internal/front/drmaafront/front.go
+++ b/internal/front/drmaafront/front.go
@@ -42,6 +42,7 @@
 	Input    func(req, stream uint64) scheduler.Input // with the numbers that the host gives it
 	Stream   bool                                     // after a good answer, events follow
 	Encode   func(a *scheduler.Answer) []byte         // the response to Input
+	Since    string                                   // of a stream: the position that the client had got to
 	Closes   bool                                     // the connection is to be closed behind the response
 }
 
@@ -428,11 +429,14 @@
 
 func (f *Front) events(r *httpcodec.Request, w scheduler.Watch) *Call {
 	// An event ID of a former life of the scheduler tells nothing: all is sent anew.
-	if life, rev, ok := strings.Cut(r.Get("last-event-id"), "."); ok && life == f.life {
-		w.Since, _ = strconv.ParseUint(rev, 10, 64)
+	since := ""
+	if life, at, ok := strings.Cut(r.Get("last-event-id"), "."); ok && life == f.life {
+		since = at
+		w.Since, _ = strconv.ParseUint(at, 10, 64)
 	}
 	return &Call{
 		Stream: true,
+		Since:  since,
 		Input: func(req, stream uint64) scheduler.Input {
 			w.Req, w.Stream = req, stream
 			return w
@@ -443,13 +447,13 @@
 	}
 }
 
-// Event is a chunk with one event of a stream.
-func (f *Front) Event(i *scheduler.Info) []byte {
+// Event is a chunk with one event of a stream, whose reader has then got to the position at.
+func (f *Front) Event(i *scheduler.Info, at string) []byte {
 	data, err := json.Marshal(f.jobInfo(i))
 	if err != nil {
 		return nil
 	}
-	return httpcodec.AppendChunk(nil, fmt.Appendf(nil, "id: %s.%d\nevent: job\ndata: %s\n\n", f.life, i.Rev, data))
+	return httpcodec.AppendChunk(nil, fmt.Appendf(nil, "id: %s.%s\nevent: job\ndata: %s\n\n", f.life, at, data))
 }
 
 // Beat is a chunk that keeps a stream's connection known to be alive.
--- a/internal/front/drmaafront/front_test.go
+++ b/internal/front/drmaafront/front_test.go
@@ -206,7 +206,7 @@
 			t.Errorf("%q: %+v", id, got)
 		}
 	}
-	event := string(f.Event(&scheduler.Info{ID: "j", Spec: &scheduler.Spec{}, State: scheduler.Running, Rev: 7}))
+	event := string(f.Event(&scheduler.Info{ID: "j", Spec: &scheduler.Spec{}, State: scheduler.Running, Rev: 7}, "7"))
 	if !strings.Contains(event, "id: "+f.life+".7\nevent: job\ndata: {\"jobId\":\"j\"") {
 		t.Errorf("event %q", event)
 	}
--- a/internal/settings/schema.cue
+++ b/internal/settings/schema.cue
@@ -89,6 +89,7 @@
 	inventory:  #Address
 	index:      *0 | (int & >=0)
 	schedulers: *1 | (int & >=1)
+	cores:      *1 | (int & >=1 & <=64) // that decide, each as a scheduler of its own to the module
 	zone:       *"" | string
 	seed:       *0 | (int & >=0) // 0: from the time of the start
 	tick:       *"2ms" | #Duration // least time between two steps of the module
