--- a/cmd/flaxshelf/serve.go
+++ b/cmd/flaxshelf/serve.go
@@ -6,6 +6,7 @@
 
 	"flaxshelf.example/flaxshelf/internal/daemon"
 	"flaxshelf.example/flaxshelf/internal/settings"
+	"flaxshelf.example/flaxshelf/internal/shard"
 )
 
 type serveCmd struct {
@@ -26,7 +27,7 @@
 	}
 	if c.Cores != 0 {
 		set.Cores = c.Cores
-		if err := set.Divisible(); err != nil {
+		if err := shard.Check(c.Cores); err != nil {
 			return fmt.Errorf("--cores: %w", err)
 		}
 	}
--- a/cmd/flaxshelf/trial.go
+++ b/cmd/flaxshelf/trial.go
@@ -19,6 +19,7 @@
 	Day    string `arg:"" help:"Name of a day that ships with the program, or a CUE file as #Trial of the schema. 'list' lists them."`
 	Seed   uint64 `default:"1" help:"What is drawn, is drawn from this."`
 	Seeds  int    `default:"1" help:"Play so many seeds, one after the other, from --seed on."`
+	Cores  int    `placeholder:"N" help:"Schedulers decide on so many cores instead of what the day says."`
 	Record string `placeholder:"FILE" help:"Keep the recording of the traffic here; with several seeds, the last one's."`
 	Keep   string `type:"path" placeholder:"DIR" help:"Keep the schedulers' logs and configurations here."`
 	Replay bool   `default:"true" negatable:"" help:"Also check that the module alone, given what it was given, answers the same."`
@@ -41,6 +42,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Cores != 0 {
+		d.Cores = c.Cores
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return err
--- a/internal/daemon/ask.go
+++ b/internal/daemon/ask.go
@@ -15,7 +15,7 @@
 func (d *Daemon) ask(call *drmaafront.Call, m message, e *events) bool {
 	sample := call.Input(0, 0)
 	if s, ok := sample.(scheduler.Submit); ok {
-		core := d.shards.Submit(s.Spec.Key, d.turn.Add(1), func(i int) int { return len(d.cores[i].box) })
+		core := d.shards.Submit(&s.Spec, d.turn.Add(1), func(i int) int { return len(d.cores[i].box) })
 		m.in = numbered{call: call.Input}
 		return d.cores[core].offer(m)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,7 +64,7 @@
 func StartHooked(set *settings.Scheduler, log zerolog.Logger, hook Hook) (*Daemon, error) {
 	n := max(set.Cores, 1)
 	d := &Daemon{set: set, hook: hook, log: log.With().Str("scheduler", set.Name).Logger(), boot: clock.Now()}
-	d.shards, d.nodes.m = shard.New(set.Name, d.boot, n), map[string]*nodeLink{}
+	d.shards, d.nodes.m = shard.New(set.Name, set.Core(d.boot), n), map[string]*nodeLink{}
 	var err error
 	if d.metrics, err = newMetrics(set.Metrics); err != nil {
 		return nil, err
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -80,6 +80,9 @@
 		}
 		w.rec = &recorder{}
 	}
+	if d.Cores > 1 {
+		return nil, fmt.Errorf("emulator: %s: schedulers of %d cores are played on sockets only", d.Name, d.Cores)
+	}
 	w.make = opt.Make
 	w.owners = newOwners(w)
 	w.owners.id = w.e.add(w.owners)
--- a/internal/lab/scenario/schema.cue
+++ b/internal/lab/scenario/schema.cue
@@ -6,6 +6,7 @@
 	// How long the trial waits, after its last submission, for what is open.
 	after: *7 | (number & >=0)
 	schedulers: *3 | (int & >=1 & <=1000)
+	cores:      *1 | (int & >=1 & <=64) // of each scheduler
 	kinds: [#Kind, ...#Kind]
 	classes: [#Class, ...#Class]
 	tenants:   *[] | [...#Tenant]
--- a/internal/lab/trial/cluster.go
+++ b/internal/lab/trial/cluster.go
@@ -234,6 +234,9 @@
 	if p.c.opt.Replay {
 		tap = filepath.Join(p.c.dir, fmt.Sprintf("%s-%d.tap", p.name, p.lives))
 		p.taps = append(p.taps, tap)
+		for i := 1; i < p.c.day.Cores; i++ {
+			p.taps = append(p.taps, fmt.Sprintf("%s.%d", tap, i))
+		}
 	}
 	seed := p.c.opt.Seed*1000 + uint64(p.index*100+p.lives) + 1
 	p.mu.Unlock()
--- a/internal/settings/scheduler.go
+++ b/internal/settings/scheduler.go
@@ -3,7 +3,6 @@
 import (
 	"flaxshelf.example/flaxshelf"
 	"flaxshelf.example/flaxshelf/internal/scheduler"
-	"flaxshelf.example/flaxshelf/internal/shard"
 )
 
 // Class is the record #Class.
@@ -85,9 +84,6 @@
 		f.Fail("index", "is %d, expected below schedulers, which is %d", s.Index, s.Schedulers)
 	}
 	f.kinds(s.Kinds)
-	if err := s.Divisible(); err != nil {
-		f.Fail("cores", "%v", err)
-	}
 	seen := map[string]bool{}
 	for i, c := range s.Classes {
 		if seen[c.Name] {
@@ -171,12 +167,6 @@
 // SpreadOf is the class's spread in the module's words.
 func (c *Class) SpreadOf() flaxshelf.Extent { return extents[c.Spread] }
 
-// Divisible tells why the scheduler's work can't be divided among its cores; nil where it can.
-func (s *Scheduler) Divisible() error {
-	c := s.Module()
-	return shard.Check(&c, s.Cores)
-}
-
 // Module is what the module is told.
 func (s *Scheduler) Module() flaxshelf.Config {
 	r := &s.Rules
