--- a/index.go
+++ b/index.go
@@ -559,6 +559,9 @@
 // then, occupy takes off. sum adds up one machine's late binds.
 func (p *Placer) lateSums(rest *bitset.BitSet, from time.Duration) {
 	x := &p.index
+	if p.without[LateRoom] {
+		return
+	}
 	if x.lateStep != p.steps {
 		for _, m := range x.late {
 			m.lateCores, m.lateMemory = 0, 0
--- a/internal/daemon/cores_test.go
+++ b/internal/daemon/cores_test.go
@@ -16,7 +16,7 @@
 )
 
 func onCores(n int) func(*settings.Scheduler, *nodemodel.Config) {
-	return func(s *settings.Scheduler, _ *nodemodel.Config) { s.Cores = n }
+	return func(s *settings.Scheduler, _ *nodemodel.Config) { s.Cores, s.Limits.ClientOut = n, 4<<20 }
 }
 
 func (s *site) ran() (n int) {
--- a/internal/front/drmaafront/front.go
+++ b/internal/front/drmaafront/front.go
@@ -3,7 +3,6 @@
 package drmaafront
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 	"net/url"
@@ -11,6 +10,9 @@
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/goccy/go-json"
+
 	"flaxshelf.example/flaxshelf/drmaa2"
 	"flaxshelf.example/flaxshelf/internal/clock"
 	"flaxshelf.example/flaxshelf/internal/codec/httpcodec"
@@ -277,18 +279,15 @@
 func submit(f *Front, r *httpcodec.Request, args []string) (*Call, *drmaa2.Error) {
 	// The template is kept as it came, for those who ask for it and for the node.
 	var in struct {
-		Template json.RawMessage `json:"template"`
-		Again    bool            `json:"again"`
-		Bulk     *drmaa2.Bulk    `json:"bulk"`
+		Template jsontext.Value `json:"template"`
+		Again    bool           `json:"again"`
+		Bulk     *drmaa2.Bulk   `json:"bulk"`
 	}
 	if err := decode(r.Body, &in); err != nil {
 		return nil, err
 	}
 	var t drmaa2.JobTemplate
 	if err := decode(in.Template, &t); err != nil {
-		if err.Attribute != "" {
-			err.Attribute = "template." + err.Attribute
-		}
 		return nil, err
 	}
 	spec, err := f.spec(&t)
--- a/internal/front/drmaafront/template.go
+++ b/internal/front/drmaafront/template.go
@@ -2,15 +2,18 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
 	"flaxshelf.example/flaxshelf/drmaa2"
 	"flaxshelf.example/flaxshelf/internal/scheduler"
 )
@@ -22,25 +25,60 @@
 	mostArgs    = 1000
 )
 
-// decode reads one JSON value and nothing else. Unknown fields are errors: nothing is accepted and ignored.
+// decode reads one JSON value and nothing else. Nothing is accepted and ignored: unknown fields, names that come twice
+// and text that is not UTF-8 are errors, and the error names the attribute. The reader is that of encoding/json/v2 by
+// its module, which is strict in all of this; docs/scale.md has the figures of those that were weighed.
 func decode(body []byte, into any) *drmaa2.Error {
-	d := json.NewDecoder(bytes.NewReader(body))
-	d.DisallowUnknownFields()
-	if err := d.Decode(into); err != nil {
-		e := &drmaa2.Error{Code: drmaa2.InvalidArgument, Message: "the body can't be read: " + err.Error()}
-		var wrong *json.UnmarshalTypeError
-		switch {
-		case errors.As(err, &wrong):
-			e.Attribute = wrong.Field
-		case errors.Is(err, io.EOF):
-			e.Message = "the body is empty"
-		}
-		return e
+	err := json.Unmarshal(body, into, json.RejectUnknownMembers(true))
+	if err == nil {
+		return nil
 	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return invalid("", "something follows the JSON value")
+	e := &drmaa2.Error{Code: drmaa2.InvalidArgument}
+	var wrong *json.SemanticError
+	var text *jsontext.SyntacticError
+	switch {
+	case len(bytes.TrimSpace(body)) == 0:
+		e.Message = "the body is empty"
+	case errors.Is(err, json.ErrUnknownName) && errors.As(err, &wrong):
+		e.Code, e.Attribute = drmaa2.UnsupportedAttribute, attribute(wrong.JSONPointer)
+		e.Message = e.Attribute + ": is not known"
+	case errors.Is(err, jsontext.ErrDuplicateName) && errors.As(err, &text):
+		e.Attribute = attribute(text.JSONPointer)
+		e.Message = e.Attribute + ": comes twice"
+	case errors.As(err, &wrong) && wrong.JSONPointer != "":
+		e.Attribute = attribute(wrong.JSONPointer)
+		e.Message = e.Attribute + ": can't be read"
+		if wrong.GoType != nil {
+			e.Message += " as " + wanted(wrong.GoType)
+		}
+	default:
+		e.Message = "the body can't be read: " + strings.TrimPrefix(err.Error(), "jsontext: ")
 	}
-	return nil
+	return e
+}
+
+// attribute is where a value stands, as in template.startTime.
+func attribute(at jsontext.Pointer) string {
+	return clip(strings.Join(slices.Collect(at.Tokens()), "."))
+}
+
+// wanted is a type in the words of those who write templates.
+func wanted(t reflect.Type) string {
+	switch {
+	case t == reflect.TypeFor[time.Time]():
+		return "a time, as 2027-01-15T08:00:00Z"
+	case t.Kind() == reflect.String:
+		return "text"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	case t.Kind() == reflect.Slice:
+		return "a list"
+	case t.Kind() == reflect.Map || t.Kind() == reflect.Struct:
+		return "an object"
+	case t.Kind() == reflect.Float64:
+		return "a number"
+	}
+	return "a whole number"
 }
 
 func invalid(attribute, message string) *drmaa2.Error {
@@ -97,6 +135,12 @@
 		return nil, invalid("args", fmt.Sprintf("%d of them, %d at most", len(t.Args), mostArgs))
 	case len(t.JobName) > longestName:
 		return nil, invalid("jobName", fmt.Sprintf("over %d bytes", longestName))
+	case hasNUL(t.RemoteCommand):
+		return nil, invalid("remoteCommand", "has a NUL, which no command can")
+	case slices.ContainsFunc(t.Args, hasNUL):
+		return nil, invalid("args", "have a NUL, which no argument can")
+	case hasNUL(t.JobName):
+		return nil, invalid("jobName", "has a NUL")
 	case t.QueueName != "" && t.QueueName != queue:
 		return nil, invalid("queueName", fmt.Sprintf("no queue %q; there is %q", clip(t.QueueName), queue))
 	case t.MinSlots < 0 || t.MaxSlots < 0 || t.MinPhysMemory < 0:
@@ -138,6 +182,8 @@
 	return s, nil
 }
 
+func hasNUL(s string) bool { return strings.IndexByte(s, 0) >= 0 }
+
 func (f *Front) classNames() string {
 	names := make([]string, len(f.set.Classes))
 	for i, c := range f.set.Classes {
--- a/internal/lab/emulator/scheduler.go
+++ b/internal/lab/emulator/scheduler.go
@@ -93,6 +93,9 @@
 	set.Seed = s.w.seed*1000 + uint64(s.set.Index*100+s.lives) + 1
 	cfg := set.Core(now)
 	cfg.Make = s.w.make
+	if s.w.core != nil {
+		s.w.core(&cfg)
+	}
 	core, err := scheduler.New(cfg)
 	if err != nil {
 		s.w.fail(err)
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -24,6 +24,8 @@
 	Record  io.Writer // a recording for the rules' checker; with one worker only
 	// Make makes the module of each scheduler; nil: flaxshelf.New.
 	Make func(cfg flaxshelf.Config, seed uint64) (scheduler.Stepper, error)
+	// Core, when set, may change the configuration of each scheduler's core, as for tests without a guard.
+	Core func(cfg *scheduler.Config)
 	// MeasureFrom leaves submissions before so many seconds out of the classes' figures, while the fleet fills.
 	MeasureFrom float64
 	// Progress, when set, is told of simulated seconds now and then.
@@ -44,6 +46,7 @@
 	director  *director
 	rooms     map[string]nodemodel.Keys
 	make      func(cfg flaxshelf.Config, seed uint64) (scheduler.Stepper, error)
+	core      func(cfg *scheduler.Config)
 	roomNo    map[string]int32
 	errMu     sync.Mutex // workers may fail at one time
 	rec       *recorder
@@ -83,7 +86,7 @@
 	if d.Cores > 1 {
 		return nil, fmt.Errorf("emulator: %s: schedulers of %d cores are played on sockets only", d.Name, d.Cores)
 	}
-	w.make = opt.Make
+	w.make, w.core = opt.Make, opt.Core
 	w.owners = newOwners(w)
 	w.owners.id = w.e.add(w.owners)
 	w.owners.from = scenario.Seconds(opt.MeasureFrom)
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -272,7 +272,8 @@
 // Differs tells whether the interval leaves zero out.
 func (e Estimate) Differs() bool { return math.Abs(e.Mean) > e.Half }
 
-func estimate(x []float64) Estimate {
+// Mean estimates the mean of what x was drawn from, by Student's distribution.
+func Mean(x []float64) Estimate {
 	if len(x) < 2 {
 		return Estimate{stat.Mean(x, nil), math.Inf(1)}
 	}
@@ -324,7 +325,7 @@
 			if len(row.Values) == 0 {
 				continue
 			}
-			row.Own, row.Against = estimate(row.Values), estimate(diff)
+			row.Own, row.Against = Mean(row.Values), Mean(diff)
 			row.Better = float64(higher) / float64(len(diff))
 			rows = append(rows, row)
 		}
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -99,11 +99,11 @@
 // Intervals against tables: for 5 values of standard deviation 1 the half width is 2.776/sqrt(5).
 func TestEstimate(t *testing.T) {
 	a := math.Sqrt(2)
-	e := estimate([]float64{5, 5 + a, 5 - a, 5, 5})
+	e := Mean([]float64{5, 5 + a, 5 - a, 5, 5})
 	if math.Abs(e.Mean-5) > 1e-9 || math.Abs(e.Half-2.776/math.Sqrt(5)) > 1e-3 || !e.Differs() {
 		t.Errorf("%v", e)
 	}
-	if one := estimate([]float64{3}); !math.IsInf(one.Half, 1) || one.Differs() {
+	if one := Mean([]float64{3}); !math.IsInf(one.Half, 1) || one.Differs() {
 		t.Errorf("of one value: %v", one)
 	}
 }
--- a/internal/lab/rules/check.go
+++ b/internal/lab/rules/check.go
@@ -50,8 +50,12 @@
 	zone     string
 	cell     int32
 	started  int64
+	fresh    int64 // by the node's own welcome
 }
 
+// since when the node is up, by the latest word of either.
+func (t *told) up() int64 { return max(t.started, t.fresh) }
+
 type phase int
 
 const (
@@ -235,6 +239,9 @@
 		for _, e := range b.Welcome.Ended {
 			c.becomes(e.Attempt, ended)
 		}
+		if v := c.view(k.from, k.to); b.Welcome.Fresh {
+			v.fresh = max(v.fresh, b.Welcome.StartedUnixNs)
+		}
 		if !b.Welcome.More {
 			c.welcomed(k)
 		}
@@ -477,8 +484,8 @@
 func (c *checker) offerArrived(k *conn, o *nodepb.Offer) {
 	view := c.view(k.from, k.to)
 	n := c.cold[k.to]
-	if view.started > 0 && (n == nil || n.started < view.started) {
-		n = &coldNode{started: view.started}
+	if up := view.up(); up > 0 && (n == nil || n.started < up) {
+		n = &coldNode{started: up}
 		c.cold[k.to] = n
 	}
 	if n == nil {
@@ -495,7 +502,7 @@
 			kept = append(kept, x)
 		}
 	}
-	n.offers = append(kept, coldOffer{c.now, view.started == n.started})
+	n.offers = append(kept, coldOffer{c.now, view.up() == n.started})
 	bears, knew := c.f.Cold.bears(age), 0
 	for _, x := range n.offers {
 		if x.told {
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -53,7 +53,7 @@
 	c.attempts[a.id], n.live[a.id], j.live = a, a, a
 	j.node, j.sub = n.entry.ID, SubOffered
 	switch {
-	case !j.open || a.limit <= 0 || j.stopping || n.entry.State != flaxshelf.In:
+	case !j.open || a.limit <= 0 || j.stopping || n.entry.State != flaxshelf.In && !c.cfg.Without.Drain:
 		c.end(a, flaxshelf.NotSent, flaxshelf.Untold, flaxshelf.Load{})
 	case n.up:
 		c.send(a)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -110,7 +110,7 @@
 func (c *Core) answerLate(j *job) {
 	due := j.due
 	j.overdue = c.after(due+c.cfg.Module.AnswerSlack/2, func() {
-		if !j.open || j.due != due {
+		if !j.open || j.due != due || c.cfg.Without.Answer {
 			return
 		}
 		c.tell(flaxshelf.Gone{Task: j.askID()})
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -37,10 +37,18 @@
 	Make func(cfg flaxshelf.Config, seed uint64) (Stepper, error)
 	// Tap, when set, is given each step of the module. It must not keep or change the slices.
 	Tap func(now Time, events []flaxshelf.Event, actions []flaxshelf.Action)
+	// Without takes guards of the core out, for tests: the module alone must keep the rule, or it is seen broken.
+	Without Guards
 	// Around, when set, runs each step of the module, so that a host can measure its share. It must call step.
 	Around func(step func())
 }
 
+// Guards are what the core keeps again that the module keeps already.
+type Guards struct {
+	Drain  bool // no offer to a node that drains
+	Answer bool // an answer where the module gave none in time
+}
+
 // State is a job state of DRMAA version 2, section 7.1 of GFD.194.
 type State string
 
--- a/placer.go
+++ b/placer.go
@@ -181,7 +181,7 @@
 // its next life look full. Acts when discovery says that the machine is gone or has started anew.
 func (p *Placer) forgetBinds(m *machine, before Time) {
 	for _, b := range p.history {
-		if b.m == m && b.at < before {
+		if b.m == m && b.at < before && !p.without[GoneBinds] {
 			p.takeOff(b)
 		}
 	}
@@ -234,7 +234,7 @@
 	}
 	a.live, a.done = false, true
 	a.proved = e.Verdict == Refused || e.Verdict == Unreachable || e.Verdict == NotSent
-	if a.proved {
+	if a.proved && !p.without[ProvedBinds] {
 		p.takeOff(a.history) // it never ran, so it leaves the history
 	}
 	p.release(t, a.m)
@@ -324,7 +324,7 @@
 // probe keeps others from following an offer to what failed us lately, until its outcome is known: so that
 // recovery is found by one task and not by all that wait.
 func (p *Placer) probe(h *health) {
-	if h.strikes > 0 {
+	if h.strikes > 0 && !p.without[ProbeBar] {
 		h.bar = max(h.bar, p.now+baseBar)
 	}
 }
@@ -473,7 +473,7 @@
 		x.shape++
 	}
 	for k := range x.kinds {
-		put(x.kinds[k], i, kind == k && m.State == In)
+		put(x.kinds[k], i, kind == k && (m.State == In || m.State == Draining && p.without[DrainBar]))
 	}
 	next := Time(math.MaxInt64)
 	until := func(end Time) bool {
@@ -525,7 +525,7 @@
 func (p *Placer) inGroup(t *task, left *bitset.BitSet) {
 	for i := range t.attempts {
 		a := &t.attempts[i]
-		if a.proved || t.class.Effect == Safe {
+		if a.proved || t.class.Effect == Safe || p.without[RepeatBar] {
 			continue
 		}
 		late := p.now+p.cfg.Tick >= a.sent+t.class.Window
@@ -544,7 +544,7 @@
 // spreadLeft keeps the fifth rule: where a service has its most, it gets no more.
 func (p *Placer) spreadLeft(t *task, left *bitset.BitSet) {
 	s := p.services[t.Service]
-	if t.class.Spread == Nowhere || s == nil {
+	if t.class.Spread == Nowhere || s == nil || p.without[SpreadBar] {
 		return
 	}
 	places := s.zones
@@ -572,7 +572,7 @@
 //
 // Where the share is below one offer, schedulers take turns of one offer each, see turn.
 func (p *Placer) coldLeft(m *machine) bool {
-	if !p.cold(m) {
+	if !p.cold(m) || p.without[ColdBar] {
 		return true
 	}
 	from := p.now - p.fallWindow()
@@ -629,8 +629,8 @@
 	if n == 0 {
 		return nil
 	}
-	bar := func(least uint, barred *bitset.BitSet) {
-		if kept := left.DifferenceCardinality(barred); kept >= least && kept < n {
+	bar := func(b Bar, least uint, barred *bitset.BitSet) {
+		if kept := left.DifferenceCardinality(barred); kept >= least && kept < n && !p.without[b] {
 			left.InPlaceDifference(barred)
 			n = kept
 		}
@@ -643,15 +643,15 @@
 				tried.Set(uint(a.m.at))
 			}
 		}
-		bar(1, tried)
+		bar(TriedBar, 1, tried)
 	}
 	// Failing, lost or out of reach. When over half are, the cause is not a machine.
-	bar(max(several, n/2), x.failing)
+	bar(FailingBar, max(several, n/2), x.failing)
 	// Failing this class. That may be most machines: those that serve it are kept.
 	if t.Class >= 0 && t.Class < len(x.classes) {
-		bar(several, x.classes[t.Class])
+		bar(ClassBar, several, x.classes[t.Class])
 	} else {
-		bar(several, x.failing)
+		bar(ClassBar, several, x.failing)
 	}
 	// Full as far as told. A refused offer is priced and uses up an attempt, so a task is held while no
 	// machine has room; late in its time it is tried once all the same, in case the evidence is wrong.
@@ -659,18 +659,21 @@
 	if p.late(t) {
 		least = 1
 	}
-	bar(least, p.full(t, left))
+	if full := p.full(t, left); left.DifferenceCardinality(full) >= least {
+		left.InPlaceDifference(full)
+		n = left.Count()
+	}
 	if n == 0 {
 		return nil
 	}
-	if p.cfg.Prices.Fleet > 0 && p.cfg.ListsFree {
+	if p.cfg.Prices.Fleet > 0 && p.cfg.ListsFree && !p.without[NeededBar] {
 		if used := p.inUse(left); left.IntersectionCardinality(used) >= several {
 			left.InPlaceIntersection(used)
 			n = left.Count()
 		}
 	}
-	bar(several, x.strained)
-	bar(several, p.contradicted(left, n))
+	bar(StrainedBar, several, x.strained)
+	bar(ContradictedBar, several, p.contradicted(left, n))
 	return p.homes(t, left, n)
 }
 
@@ -689,12 +692,14 @@
 	x := &p.index
 	full := x.spare.ClearAll()
 	both(left, x.refusing, func(i int) {
-		if m := p.order[i]; p.size(t, m) >= m.fullSize {
+		if m := p.order[i]; p.size(t, m) >= m.fullSize && !p.without[RefusedBar] {
 			full.Set(uint(i))
 		}
 	})
-	full.InPlaceUnion(x.rushed)
-	if p.cfg.ListsFree {
+	if !p.without[RushedBar] {
+		full.InPlaceUnion(x.rushed)
+	}
+	if p.cfg.ListsFree && !p.without[RoomBar] {
 		p.lateSums(left.Difference(full), listLate)
 		x.lacking(left, full, t.Cores, t.Memory)
 	}
@@ -773,6 +778,10 @@
 	if len(list) < several && second >= 0 {
 		list = append(list, candidate{second, x.rankKey(s, second)})
 	}
+	if p.without[HomesBar] {
+		list = list[:0]
+		both(left, left, func(i int) { list = append(list, candidate{int32(i), x.rankKey(s, int32(i))}) })
+	}
 	x.candidates = list
 	return list
 }
@@ -933,7 +942,9 @@
 //
 // Those that can still start within their aim go first: when room is short, a start in time is worth most.
 func (p *Placer) serve() {
-	p.sortOpen()
+	if !p.without[Waits] {
+		p.sortOpen()
+	}
 	for _, t := range p.open {
 		if t.settled {
 			continue
@@ -974,7 +985,7 @@
 // place offers t to a machine, holds it, or gives it up.
 func (p *Placer) place(t *task) {
 	if p.now >= p.offerBy(t) || p.cfg.MaxAttempts > 0 && len(t.attempts) >= p.cfg.MaxAttempts ||
-		t.class == &p.unknown || t.class.Effect == Unsafe && t.mayHaveRun() {
+		t.class == &p.unknown || t.class.Effect == Unsafe && t.mayHaveRun() && !p.without[RepeatBar] {
 		p.answer(t)
 		return
 	}
@@ -1010,7 +1021,12 @@
 // answerBy is the last moment to give the final answer; an attempt's time-out comes a tick earlier.
 func (p *Placer) answerBy(t *task) Time { return t.ValidUntil - p.margin() }
 func (p *Placer) offerBy(t *task) Time  { return t.ValidUntil - 2*p.margin() }
-func (p *Placer) margin() time.Duration { return 2*p.cfg.Tick + time.Millisecond }
+func (p *Placer) margin() time.Duration {
+	if p.without[AnswerBar] {
+		return -time.Second
+	}
+	return 2*p.cfg.Tick + time.Millisecond
+}
 
 // answer ends t: a refusal promises that a retry is safe, so it needs proof or a class that bears repeats.
 func (p *Placer) answer(t *task) {
--- a/state.go
+++ b/state.go
@@ -15,6 +15,7 @@
 // Placer makes the decisions of one scheduler.
 type Placer struct {
 	cfg       Config
+	without   [bars]bool // taken out by a test
 	src       *rand.PCG
 	rng       *rand.Rand // of src
 	index     index
