Emulator plays plans and traces, cores cost time; owners' time runs from submission

Need: load plans and traces could not be emulated, a core cost nothing there, and a core that is behind took work whose owner had given up, by its own clock.

--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -182,8 +182,9 @@
 			c.streams[c.req] = m
 		}
 		m.in = in.call(c.req, c.req)
-		if _, ok := m.in.(scheduler.Submit); ok && m.reply != nil {
-			m.submits = true
+		if s, ok := m.in.(scheduler.Submit); ok && m.reply != nil {
+			s.Came = clock.At(m.came)
+			m.in, m.submits = s, true
 			c.waiting[c.req] = m
 		}
 	}
--- a/internal/lab/emulator/owners.go
+++ b/internal/lab/emulator/owners.go
@@ -54,7 +54,7 @@
 }
 
 type loadState struct {
-	arrivals *scenario.Arrivals
+	arrivals arrivals
 	next     scenario.Arrival
 	ok       bool
 }
@@ -95,8 +95,15 @@
 func newOwners(w *world) *owners {
 	o := &owners{w: w, lines: newLines(w.seed, 0), subs: map[string]*submitted{}, factors: map[string]float64{},
 		hot: map[string]float64{}, stats: newStats(w.day)}
+	var sources []arrivals
 	for i := range w.day.Load {
-		s := loadState{arrivals: w.day.Arrivals(i, w.seed)}
+		sources = append(sources, w.day.Arrivals(i, w.seed))
+	}
+	if w.played != nil {
+		sources = []arrivals{w.played}
+	}
+	for _, a := range sources {
+		s := loadState{arrivals: a}
 		s.next, s.ok = s.arrivals.Next(1, 0)
 		o.loads = append(o.loads, s)
 	}
--- a/internal/lab/emulator/report.go
+++ b/internal/lab/emulator/report.go
@@ -32,7 +32,8 @@
 	Retries     int   // asks of owners who had asked before
 	Events      int64 // runs of entities
 	Messages    int64
-	Steps       int64 // of cores
+	Steps       int64   // of cores
+	Busiest     float64 // share of its time that the busiest core worked, where the day tells what steps cost
 	Unaccounted int
 }
 
@@ -58,6 +59,7 @@
 	}
 	for _, x := range w.servers {
 		r.Steps += x.steps
+		r.Busiest = max(r.Busiest, x.worked.Seconds()/r.Seconds)
 	}
 	return r
 }
@@ -76,6 +78,9 @@
 	fmt.Fprintf(&b, "submissions: %s; asked again %d times; not accounted for %d\n", counts(r.Ends), r.Retries,
 		r.Unaccounted)
 	fmt.Fprintf(&b, "jobs ended: %s; %d nodes fell over\n", counts(r.Ended), r.FellOver)
+	if r.Busiest > 0 {
+		fmt.Fprintf(&b, "the busiest core works %.0f%% of its time\n", 100*r.Busiest)
+	}
 	fmt.Fprintf(&b, "%.1f simulated seconds: %d events, %d messages, %d steps of cores\n", r.Seconds, r.Events,
 		r.Messages, r.Steps)
 	return b.String()
--- a/internal/lab/emulator/scheduler.go
+++ b/internal/lab/emulator/scheduler.go
@@ -22,6 +22,8 @@
 	wake   Time
 	lives  int
 	stop   Time // stopped until then
+	busy   Time // its core works until then
+	worked Time // in all
 	links  map[string]*link
 	peers  map[int32]*link
 	list   *nodefront.Inventory
@@ -81,7 +83,7 @@
 	if s.core != nil {
 		t = min(t, s.wake, s.retry)
 	}
-	return max(t, s.stop)
+	return max(t, s.stop, s.busy)
 }
 
 func (s *server) start(now Time, out *outbox) {
@@ -126,7 +128,7 @@
 // run gives the core all that has come in a window in one step at its end, as a daemon gives it what has come since
 // the last.
 func (s *server) run(end Time, out *outbox) {
-	if end <= s.stop {
+	if end <= s.stop || end <= s.busy {
 		return
 	}
 	now := end
@@ -160,6 +162,11 @@
 	s.again = nil
 	s.steps++
 	o := s.core.Step(now, inputs)
+	if cost := s.w.day.CPU.Of(len(inputs)); cost > 0 { // what it answers leaves when it is done, and until then it hears nothing
+		s.busy = now + cost
+		s.worked += cost
+		now = s.busy
+	}
 	s.wake = o.Wake
 	for _, e := range o.Effects {
 		s.carry(e, now, out)
@@ -203,7 +210,7 @@
 	case submission:
 		s.req++
 		s.reqs[s.req] = request{m.from, b.spec.Key}
-		return scheduler.Submit{Req: s.req, Spec: b.spec}
+		return scheduler.Submit{Req: s.req, Came: m.at, Spec: b.spec}
 	case termServer:
 		return scheduler.Drain{}
 	case command:
--- a/internal/lab/emulator/world.go
+++ b/internal/lab/emulator/world.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"flaxshelf.example/flaxshelf"
+	"flaxshelf.example/flaxshelf/internal/lab/load"
 	"flaxshelf.example/flaxshelf/internal/lab/rules"
 	"flaxshelf.example/flaxshelf/internal/lab/scenario"
 	"flaxshelf.example/flaxshelf/internal/lab/standin/inventorymodel"
@@ -26,6 +27,8 @@
 	Make func(cfg flaxshelf.Config, seed uint64) (scheduler.Stepper, error)
 	// Core, when set, may change the configuration of each scheduler's core, as for tests without a guard.
 	Core func(cfg *scheduler.Config)
+	// Load, when set, is played in place of the day's own load, as long as it is.
+	Load *load.Trace
 	// MeasureFrom leaves submissions before so many seconds out of the classes' figures, while the fleet fills.
 	MeasureFrom float64
 	// Progress, when set, is told of simulated seconds now and then.
@@ -47,6 +50,7 @@
 	rooms     map[string]nodemodel.Keys
 	make      func(cfg flaxshelf.Config, seed uint64) (scheduler.Stepper, error)
 	core      func(cfg *scheduler.Config)
+	played    *played
 	roomNo    map[string]int32
 	errMu     sync.Mutex // workers may fail at one time
 	rec       *recorder
@@ -75,6 +79,11 @@
 }
 
 func newWorld(d *scenario.Day, opt Options) (*world, error) {
+	if opt.Load != nil {
+		longer := *d
+		longer.Seconds = max(d.Seconds, opt.Load.Length().Seconds())
+		d = &longer
+	}
 	w := &world{day: d, seed: opt.Seed, e: newEngine(opt.Workers), nodeIDs: map[string]int32{},
 		rooms: map[string]nodemodel.Keys{}, roomNo: map[string]int32{}}
 	if opt.Record != nil {
@@ -87,6 +96,12 @@
 		return nil, fmt.Errorf("emulator: %s: schedulers of %d cores are played on sockets only", d.Name, d.Cores)
 	}
 	w.make, w.core = opt.Make, opt.Core
+	if opt.Load != nil {
+		var err error
+		if w.played, err = newPlayed(opt.Load, d); err != nil {
+			return nil, err
+		}
+	}
 	w.owners = newOwners(w)
 	w.owners.id = w.e.add(w.owners)
 	w.owners.from = scenario.Seconds(opt.MeasureFrom)
@@ -138,7 +153,7 @@
 		return nil, err
 	}
 	w.director.plan()
-	end := Epoch + warmUp + scenario.Seconds(d.Seconds+d.After)
+	end := Epoch + warmUp + scenario.Seconds(w.day.Seconds+d.After)
 	windows := 0
 	w.e.run(end, func() bool {
 		if windows++; windows%1000 == 0 && opt.Progress != nil {
--- a/internal/lab/scenario/day.go
+++ b/internal/lab/scenario/day.go
@@ -61,6 +61,7 @@
 	Rules                     settings.Rules
 	Limits                    settings.Limits
 	Behaviour                 settings.Behaviour
+	CPU                       CPU `json:"cpu"`
 	Late, GoneAfter           settings.Duration
 	ListsFree, RunsWhenPlaced bool
 	Fleet                     []Group
@@ -68,6 +69,14 @@
 	Troubles                  []Trouble
 }
 
+// CPU is the record of what a core's steps cost: a step, and each input of it.
+type CPU struct{ Step, Input settings.Duration }
+
+// Of is the time that a step with so many inputs takes.
+func (c *CPU) Of(inputs int) time.Duration {
+	return c.Step.Of() + time.Duration(inputs)*c.Input.Of()
+}
+
 // Names lists the days that ship with the program.
 func Names() []string {
 	entries, _ := days.ReadDir("days") // the folder is part of the binary
--- a/internal/lab/scenario/schema.cue
+++ b/internal/lab/scenario/schema.cue
@@ -13,6 +13,8 @@
 	rules:     #Rules
 	limits:    #Limits
 	behaviour: #Behaviour
+	// What a scheduler's core needs, for the emulator: nothing unless told.
+	cpu: {step: *"0s" | #Duration, input: *"0s" | #Duration}
 	late:      *"100ms" | #Duration
 	goneAfter: *"300ms" | #Duration
 	listsFree: *false | bool
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -33,6 +33,11 @@
 			return
 		}
 	}
+	// Risk covered: a core that is behind would take what it can hardly place before its owner gives up.
+	if late := c.now - in.Came; in.Came > 0 && late > c.giveUp(s)/2 {
+		c.refuse(in.Req, TryLater, tryAgain, "the scheduler is %v behind", late.Round(time.Millisecond))
+		return
+	}
 	switch {
 	case c.draining:
 		c.refuse(in.Req, TryLater, c.cfg.Limits.Settle, "the scheduler is shutting down")
@@ -50,6 +55,7 @@
 		return
 	}
 	j := c.newJob(&in.Spec)
+	j.came = in.Came
 	c.answer(in.Req, Answer{Jobs: []Info{j.info()}})
 	c.enter(j)
 }
@@ -97,6 +103,7 @@
 		j.deadline = c.after(j.spec.Deadline, func() { c.terminate(j) })
 	}
 	if j.held() {
+		j.came = 0
 		c.changed(j)
 		return
 	}
@@ -107,6 +114,7 @@
 func (c *Core) proceed(j *job) {
 	switch {
 	case j.spec.NotBefore > c.now:
+		j.came = 0
 		j.sub = SubStartTime
 		c.changed(j)
 		j.later = c.after(j.spec.NotBefore, func() {
--- /dev/null
+++ b/internal/scheduler/behind_test.go
@@ -0,0 +1,38 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+)
+
+// The owner's time runs from when its submission came, not from when a busy core got to it; what is too late by then is
+// turned away and not taken.
+func TestACoreThatIsBehind(t *testing.T) {
+	c, err := New(settingsForTests())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{}
+	now := 10 * time.Second
+	c.Step(now, []Input{Listed{Whole: true, Machines: w.machines()}, NodeUp{Node: "n1"}, NodeUp{Node: "n2"}, NodeUp{Node: "n3"}})
+	spec := Spec{Tenant: -1, Cores: 1, Memory: 1, GiveUp: 4 * time.Second}
+	for _, x := range []struct {
+		came Time
+		took bool
+		due  Time
+	}{{0, true, now + 4*time.Second}, {now - time.Second, true, now + 3*time.Second}, {now - 3*time.Second, false, 0}} {
+		out := c.Step(now, []Input{Submit{Req: 7, Came: x.came, Spec: spec}})
+		for _, e := range out.Effects {
+			a, ok := e.(Answer)
+			if !ok || a.Req != 7 {
+				continue
+			}
+			if took := a.Err == nil; took != x.took || !took && a.Err.Code != TryLater {
+				t.Errorf("came at %v: taken %v, %v", x.came, took, a.Err)
+			}
+			if a.Err == nil && c.jobs[a.Jobs[0].ID].due != x.due {
+				t.Errorf("came at %v: given up at %v, want %v", x.came, c.jobs[a.Jobs[0].ID].due, x.due)
+			}
+		}
+	}
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -33,6 +33,7 @@
 	exit, requeues      int
 	uncertain           Time // when an attempt that may have run was last given up
 	taken, askedAt, due Time
+	came                Time // of a submission whose ask is still to be opened
 	started, ended      Time
 	rev                 uint64
 	aliases             []string
@@ -97,15 +98,23 @@
 	j.ask++
 	j.askName, j.attempts, j.outcome, j.node = "", 0, "", ""
 	j.open, j.askedAt = true, c.now
-	c.nOpen++
-	give := j.spec.GiveUp
-	if give <= 0 {
-		give = c.cfg.Limits.GiveUp[j.spec.Class]
+	if j.came > 0 { // of the first ask, unless its start time held it back
+		j.askedAt = j.came
 	}
-	j.due = c.now + give
+	j.came = 0
+	c.nOpen++
+	j.due = j.askedAt + c.giveUp(j.spec)
 	c.answerLate(j)
 }
 
+// giveUp is how long an owner waits for an outcome.
+func (c *Core) giveUp(s *Spec) time.Duration {
+	if s.GiveUp > 0 {
+		return s.GiveUp
+	}
+	return c.cfg.Limits.GiveUp[s.Class]
+}
+
 // answerLate answers for the module where it was kept from answering, as by a stall.
 func (c *Core) answerLate(j *job) {
 	due := j.due
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -169,6 +169,7 @@
 	// Submit asks for one job, or for an array when Indexes is not empty.
 	Submit struct {
 		Req         uint64
+		Came        Time // when it reached the host; 0: now. The owner's time runs from then
 		Spec        Spec
 		Indexes     []int
 		MaxParallel int // of the array; 0: all
