Requests to all cores are numbered apart; stops leave before the offers that follow them

Change: each core gets a copy of the request; one loop writes to all nodes; owners of a trial release again when the answer was not heard.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,7 +77,9 @@
 		d.cores = append(d.cores, c)
 	}
 	d.front = drmaafront.New(set, d.boot)
-	d.dialer, err = transport.NewDialer(transport.Options{MaxOut: set.Limits.NodeOut, Idle: peerIdle, Loops: n, Log: d.log})
+	// One loop writes to all nodes. Risk covered: with several, the stop of an attempt that was given up could leave after
+	// the offer that follows it, to another node.
+	d.dialer, err = transport.NewDialer(transport.Options{MaxOut: set.Limits.NodeOut, Idle: peerIdle, Log: d.log})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/drmaafront/front.go
+++ b/internal/front/drmaafront/front.go
@@ -41,7 +41,7 @@
 // Call is what a request asks for. Exactly one of Response and Input is set.
 type Call struct {
 	Response []byte                                   // an answer that needs nobody
-	Input    func(req, stream uint64) scheduler.Input // with the numbers that the host gives it
+	Input    func(req, stream uint64) scheduler.Input // with the numbers that the host gives it; for any goroutine
 	Stream   bool                                     // after a good answer, events follow
 	Encode   func(a *scheduler.Answer) []byte         // the response to Input
 	Since    string                                   // of a stream: the position that the client had got to
@@ -311,8 +311,9 @@
 	}
 	return &Call{
 		Input: func(req, _ uint64) scheduler.Input {
-			s.Req = req
-			return s
+			one := s
+			one.Req = req
+			return one
 		},
 		Encode: f.Submitted,
 	}, nil
@@ -378,8 +379,9 @@
 	}
 	return &Call{
 		Input: func(req, _ uint64) scheduler.Input {
-			in.Req = req
-			return in
+			one := in // several cores may ask at once
+			one.Req = req
+			return one
 		},
 		Encode: f.jobs(),
 	}, nil
@@ -437,8 +439,9 @@
 		Stream: true,
 		Since:  since,
 		Input: func(req, stream uint64) scheduler.Input {
-			w.Req, w.Stream = req, stream
-			return w
+			one := w // several cores may ask at once
+			one.Req, one.Stream = req, stream
+			return one
 		},
 		Encode: encode(func(*scheduler.Answer) []byte {
 			return httpcodec.AppendStreamHead(nil, 200, "text/event-stream", "Cache-Control", "no-store")
--- a/internal/lab/trial/owner.go
+++ b/internal/lab/trial/owner.go
@@ -336,9 +336,13 @@
 	case draw < l.Terminate+l.Hold:
 		err := job.Hold(ctx)
 		count("hold", err)
-		if err == nil {
+		if err == nil || errors.Is(err, drmaa2.ErrDrmCommunication) { // not heard: it may be held
 			time.Sleep(pause)
-			count("release", job.Release(ctx))
+			err := job.Release(ctx)
+			for ; errors.Is(err, drmaa2.ErrDrmCommunication) && ctx.Err() == nil; err = job.Release(ctx) {
+				time.Sleep(100 * time.Millisecond) // else it would be held for good because a connection broke
+			}
+			count("release", err)
 		}
 	}
 }
