--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -34,22 +34,32 @@
 	return n.m[name] != nil
 }
 
-// want has a connection kept for a core from now on, made by link unless one to the address is there.
-func (n *nodes) want(core int, name, addr string, link func() *transport.Link) {
+// want has a connection kept for a core from now on, made by dial unless one to the address is there. It tells whether a
+// connection to another address was given up for it, of which nothing more is heard.
+func (n *nodes) want(core int, name, addr string, dial func(l *nodeLink) *transport.Link) (replaced bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := n.m[name]
-	if l != nil && l.addr == addr {
-		l.by[core] = true
-		return
+	old := n.m[name]
+	if old != nil && old.addr == addr {
+		old.by[core] = true
+		return false
 	}
-	by := map[int]bool{}
-	if l != nil {
-		l.link.Cancel()
-		by = l.by
+	l := &nodeLink{addr: addr, by: map[int]bool{}}
+	if old != nil {
+		old.link.Cancel()
+		l.by = old.by
 	}
-	by[core] = true
-	n.m[name] = &nodeLink{addr: addr, link: link(), by: by}
+	l.by[core] = true
+	n.m[name] = l
+	l.link = dial(l)
+	return old != nil
+}
+
+// current tells whether a link is the one that is kept to its node, and not one that was given up.
+func (n *nodes) current(name string, l *nodeLink) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.m[name] == l
 }
 
 // unwant gives a connection up for a core, and wholly for the last.
@@ -157,16 +167,25 @@
 // connect keeps a connection to a node from now on.
 func (c *core) connect(name string) {
 	d, addr := c.d, c.addrs[name]
-	d.nodes.want(c.i, name, addr, func() *transport.Link {
+	replaced := d.nodes.want(c.i, name, addr, func(l *nodeLink) *transport.Link {
 		return d.dialer.Link(addr, d.set.Connect.Of(), backoff,
 			func() transport.Peer {
 				return &nodePeer{d: d, name: name, front: nodefront.Node{Set: d.set, Name: name}}
 			},
 			func(err error) {
 				d.log.Debug().Err(err).Str("node", name).Msg("no connection to the node")
-				d.passAll(scheduler.NodeDown{Node: name})
+				// Risk covered: the word of a link that was given up comes after the next one's welcome, and the
+				// node would count as down while it is up.
+				if d.nodes.current(name, l) {
+					d.passAll(scheduler.NodeDown{Node: name})
+				}
 			})
 	})
+	if replaced { // at once: what is sent until the next welcome waits for it
+		for _, o := range d.cores {
+			o.again(scheduler.NodeDown{Node: name})
+		}
+	}
 }
 
 // ping asks all peers for a sign of life; one core does it for all.
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -118,6 +118,17 @@
 	return &nodepb.Frame{Body: &nodepb.Frame_Refused{Refused: &nodepb.Refused{Attempt: a}}}
 }
 
+func welcome(ms int64) *nodepb.Frame {
+	return &nodepb.Frame{Body: &nodepb.Frame_Welcome{Welcome: &nodepb.Welcome{Node: "n1", StartedUnixNs: base + ms*1e6}}}
+}
+
+// fresh is the welcome of a node that may be cold.
+func fresh(ms int64) *nodepb.Frame {
+	f := welcome(ms)
+	f.GetWelcome().Fresh = true
+	return f
+}
+
 func ended2(a string) *nodepb.Frame {
 	return &nodepb.Frame{Body: &nodepb.Frame_Ended{Ended: &nodepb.Ended{Attempt: a}}}
 }
@@ -208,6 +219,8 @@
 
 		{"what a cold node bears", many(newTape().at(100).list(false, "n1@100"), 3), nil},
 		{"more than a cold node bears", many(newTape().at(100).list(false, "n1@100"), 4), []int{ColdKept}},
+		{"told by the node alone", many(newTape().at(100).say(1, fresh(100)), 4), []int{ColdKept}},
+		{"a node that is up for long tells nothing", many(newTape().at(100).say(1, welcome(100)), 9), nil},
 		{"a warm node", many(newTape().at(100).list(false, "n1@100").at(6000), 9), nil},
 		{"nobody was told", many(newTape(), 9), nil},
 
