A keyed job that loses its node waits out an earlier attempt that may have run

Change: a job whose class does not bear repeats is asked for anew, after a lost node or a release, only when settle has passed since its last attempt that may have run. A script tells it.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -122,6 +122,14 @@
 				c.place(j)
 			}
 		})
+	case j.ask > 0 && c.clearAt(j) > c.now:
+		j.sub = SubBackoff
+		c.changed(j)
+		j.later = c.after(c.clearAt(j), func() {
+			if !j.state.Ended() && j.sub == SubBackoff {
+				c.proceed(j)
+			}
+		})
 	case c.holdsBack(j):
 		j.sub = SubRecovering
 		c.openAsk(j)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -66,7 +66,7 @@
 func (c *Core) class(j *job) *flaxshelf.Class { return &c.cfg.Module.Classes[j.spec.Class] }
 
 // doubtful tells that the ask in hand may have run, and must not do so again in another.
-func (c *Core) doubtful(j *job) bool { return j.doubt == j.ask && !c.bearsRepeats(j) }
+func (c *Core) doubtful(j *job) bool { return j.open && j.doubt == j.ask && !c.bearsRepeats(j) }
 
 func (c *Core) bearsRepeats(j *job) bool { return c.class(j).Effect == flaxshelf.Safe }
 func (c *Core) neverTwice(j *job) bool   { return c.class(j).Effect == flaxshelf.Unsafe }
@@ -119,6 +119,16 @@
 	return c.cfg.Limits.GiveUp[s.Class]
 }
 
+// clearAt is when a job may be asked for anew whose class does not bear repeats: an attempt of a former ask that may have
+// run is waited for until then, since the module knows nothing of it. Risk covered: a keyed job that was placed after a
+// silent attempt, and loses its node at once, would start in another group while the silent one runs.
+func (c *Core) clearAt(j *job) Time {
+	if j.uncertain == 0 || c.bearsRepeats(j) {
+		return 0
+	}
+	return j.uncertain + c.cfg.Limits.Settle
+}
+
 // answerLate answers for the module where it was kept from answering, as by a stall.
 func (c *Core) answerLate(j *job) {
 	due := j.due
@@ -234,7 +244,7 @@
 	if r == flaxshelf.Evicted || r == flaxshelf.PushedOut {
 		first = backoffEvicted
 	}
-	wait := min(first<<min(j.requeues, 8), backoffMost)
+	wait := max(min(first<<min(j.requeues, 8), backoffMost), c.clearAt(j)-c.now)
 	j.requeues += 2 // a start takes one back
 	j.state, j.sub, j.note = Requeued, SubBackoff, "it was "+lostSub(r)+" on "+j.node
 	j.node = ""
