--- a/cmd/flaxshelf/emulate.go
+++ b/cmd/flaxshelf/emulate.go
@@ -98,7 +98,8 @@
 		runtime.GC()
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
-		fmt.Fprintf(e.out, "%v simulated, %.1f MiB live\n", time.Duration(seconds*1e9).Round(time.Second), float64(m.HeapAlloc)/(1<<20))
+		fmt.Fprintf(e.out, "%v simulated, %.1f MiB live\n", scenario.Seconds(seconds).Round(time.Second),
+			float64(m.HeapAlloc)/(1<<20))
 	}
 }
 
--- a/internal/daemon/cores_test.go
+++ b/internal/daemon/cores_test.go
@@ -173,10 +173,9 @@
 
 // stall stops the goroutine of one core for two seconds, once.
 type stall struct {
-	mu    sync.Mutex
-	at    string // prefix of the job whose coming sets it off
-	until chan struct{}
-	fell  bool
+	mu   sync.Mutex
+	at   string // prefix of the job whose coming sets it off
+	fell bool
 }
 
 func (*stall) In(in scheduler.Input) scheduler.Input { return in }
--- a/internal/lab/emulator/engine.go
+++ b/internal/lab/emulator/engine.go
@@ -193,7 +193,8 @@
 	if n := len(b.waiting); n == 0 || b.waiting[n-1].at <= b.fresh[0].at {
 		b.waiting = append(b.waiting, b.fresh...)
 	} else {
-		from, _ := slices.BinarySearchFunc(b.waiting, b.fresh[0].at+1, func(m message, t Time) int { return cmp.Compare(m.at, t) })
+		from, _ := slices.BinarySearchFunc(b.waiting, b.fresh[0].at+1,
+			func(m message, t Time) int { return cmp.Compare(m.at, t) })
 		tail := append(slices.Clone(b.waiting[from:]), b.fresh...)
 		slices.SortStableFunc(tail, byTime)
 		b.waiting = append(b.waiting[:from], tail...)
--- a/internal/lab/former/figure_test.go
+++ b/internal/lab/former/figure_test.go
@@ -1,7 +1,6 @@
 package former_test
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -52,7 +51,7 @@
 			}
 			us := float64(time.Since(began).Microseconds()) / float64(steps)
 			line.X, line.Y = append(line.X, float64(n)), append(line.Y, us)
-			t.Log(fmt.Sprintf("%-28s %6d machines %10.1f us", l.name, n, us))
+			t.Logf("%-28s %6d machines %10.1f us", l.name, n, us)
 		}
 		c.Lines = append(c.Lines, line)
 	}
--- a/internal/lab/scenario/day.go
+++ b/internal/lab/scenario/day.go
@@ -172,7 +172,8 @@
 // SchedulerFile is the configuration of scheduler i. JSON is CUE as well.
 func (d *Day) SchedulerFile(i int, inventory, tap string, seed uint64) ([]byte, error) {
 	s := map[string]any{"name": SchedulerName(i), "listen": "127.0.0.1:0", "inventory": inventory, "index": i,
-		"schedulers": d.Schedulers, "cores": max(d.Cores, 1), "zone": d.Zone(i), "seed": seed, "listsFree": d.ListsFree, "runsWhenPlaced": d.RunsWhenPlaced,
+		"schedulers": d.Schedulers, "cores": max(d.Cores, 1), "zone": d.Zone(i), "seed": seed,
+		"listsFree": d.ListsFree, "runsWhenPlaced": d.RunsWhenPlaced,
 		"classes": d.Classes,
 		"kinds":   d.Kinds, "tenants": d.Tenants, "rules": d.Rules, "limits": d.Limits, "log": "info", "tap": tap}
 	if len(d.Tenants) == 0 {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -41,7 +41,8 @@
 func New(name string, cfg scheduler.Config, n int) *Map {
 	m := &Map{n: n, adopted: map[string]int{}, keys: map[string]int{},
 		most: cfg.Limits.MaxOpen + cfg.Limits.MaxJobs + cfg.Limits.MaxFinished}
-	m.byService = n > 1 && slices.ContainsFunc(cfg.Module.Classes, func(c flaxshelf.Class) bool { return c.Spread != flaxshelf.Nowhere })
+	m.byService = n > 1 && slices.ContainsFunc(cfg.Module.Classes,
+		func(c flaxshelf.Class) bool { return c.Spread != flaxshelf.Nowhere })
 	for i := range n {
 		m.prefixes = append(m.prefixes, CoreName(name, i, n)+"."+strconv.FormatInt(int64(cfg.Boot/time.Millisecond), 36)+".")
 	}
--- a/placer.go
+++ b/placer.go
@@ -461,7 +461,8 @@
 	return nil
 }
 
-// review writes what holds of m now into the sets that the bars work on, and has it looked at again when that ends.
+// review writes what holds of m now into the sets that the bars work on, and has it looked at again when
+// that ends.
 func (p *Placer) review(m *machine) {
 	x, i := &p.index, m.at
 	kind := -1
@@ -496,7 +497,8 @@
 	x.again(m, next)
 }
 
-// allowed is the hard bars: listed, in service, of a kind that serves the class and would take the task empty.
+// allowed is the hard bars: listed, in service, of a kind that serves the class and would take the task
+// empty, and the four below.
 func (p *Placer) allowed(t *task) *bitset.BitSet {
 	x, c := &p.index, t.class
 	left := x.left.ClearAll()
@@ -806,11 +808,11 @@
 	rank rankKey
 }
 
-// vote replays the history r times from what others asked. Each run names the least loaded candidate now; the one
-// named most often wins.
+// vote replays the history r times from what others asked. Each run names the least loaded candidate now; the
+// one named most often wins.
 //
-// Of the candidates that the history does not touch only the least loaded can be named, since their load is the same
-// in all runs; the others of them are left out.
+// Of the candidates that the history does not touch only the least loaded can be named, since their load is
+// the same in all runs; the others of them are left out.
 func (p *Placer) vote(list []candidate) *machine {
 	switch len(list) {
 	case 0:
@@ -828,7 +830,8 @@
 		n := x.pick[b.m.at] - 1
 		k := p.cfg.Kinds[b.m.Kind]
 		touched[n] = true
-		rs = append(rs, replayed{n, b.cores / k.Cores, b.memory / k.Memory, uint64(math.Ceil(p.alive(b) * (1 << 53)))})
+		alive := uint64(math.Ceil(p.alive(b) * (1 << 53)))
+		rs = append(rs, replayed{n, b.cores / k.Cores, b.memory / k.Memory, alive})
 	}
 	idle := -1
 	for n, c := range list {
