--- a/cmd/flaxshelf/emulate.go
+++ b/cmd/flaxshelf/emulate.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"runtime"
-	"runtime/debug"
 	"time"
 
 	"flaxshelf.example/flaxshelf/internal/lab/emulator"
@@ -41,7 +40,6 @@
 	if c.Every > 0 {
 		opt.Progress = c.progress(e)
 	}
-	collectLess()
 	began := time.Now()
 	if c.Judge {
 		rep, v, err := emulator.Judge(e.ctx, d, opt)
@@ -105,14 +103,6 @@
 	}
 }
 
-// collectLess lets an emulation's memory grow to five times what is live before it is collected, unless GOGC says
-// otherwise: collecting took a fifth of its time.
-func collectLess() {
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(400)
-	}
-}
-
 func (c *emulateCmd) run(ctx context.Context, d *scenario.Day, opt emulator.Options) (*emulator.Report, error) {
 	if c.Record == "" {
 		return emulator.Run(ctx, d, opt)
