--- /dev/null
+++ b/internal/lab/former/world_test.go
@@ -0,0 +1,236 @@
+package former_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"flaxshelf.example/flaxshelf"
+	"flaxshelf.example/flaxshelf/internal/lab/former"
+)
+
+var events = flag.Int("former.events", 60_000, "events of random worlds that both texts are given")
+
+const ms = time.Millisecond
+
+// config draws a deployment: priced machines and told room, asked-for discovery, or neither, as the deployments that
+// the module was made for.
+func config(t *rapid.T) flaxshelf.Config {
+	n := func(most int, what string) int { return rapid.IntRange(0, most).Draw(t, what) }
+	yes := func(what string) bool { return rapid.Bool().Draw(t, what) }
+	c := flaxshelf.Config{Index: 0, Schedulers: 1 + n(40, "schedulers"), Zone: "z0",
+		Kinds:       []flaxshelf.Kind{{Name: "small", Cores: 16, Memory: 50}, {Name: "big", Cores: 64, Memory: 200}},
+		Tenants:     []flaxshelf.Tenant{{Name: "a", Share: 1, QuotaCores: 4}, {Name: "b", Share: 1}},
+		AcceptCores: 1 + float64(n(4, "accept"))/4, AcceptMemory: 1.1,
+		RunsWhenPlaced: yes("runs when placed"), ListsFree: yes("lists free"), DiscoveryAsks: yes("discovery asks"),
+		CanWithdraw: yes("withdraw"), MaxAttempts: n(3, "attempts"), Tick: 2 * ms, ConnectTimeout: 100 * ms,
+		DrainGrace: time.Second, AskWithin: time.Second, ColdFor: 2 * time.Second, FallWindow: time.Second,
+		ColdOffers: float64(1 + n(40, "cold offers")), OverShareWorth: 0.3}
+	c.Prices.Fleet = float64(n(1, "fleet priced"))
+	for i, e := range []flaxshelf.Effect{flaxshelf.Safe, flaxshelf.Safe, flaxshelf.Keyed, flaxshelf.Unsafe} {
+		c.Classes = append(c.Classes, flaxshelf.Class{Name: fmt.Sprint(i), Effect: e,
+			Group:  flaxshelf.OnMachine + flaxshelf.Extent(n(3, "group")),
+			Window: time.Duration(1+n(3, "window")) * 500 * ms, Aim: 300 * ms, Kind: n(2, "kind") - 1,
+			Spread: flaxshelf.Extent(n(3, "spread")), Most: 1 + n(12, "most")})
+	}
+	return c
+}
+
+type attempt struct {
+	task, machine string
+	n             int
+	due           flaxshelf.Time
+	placed        bool
+}
+
+// world answers a module's offers, moves its list of machines and asks it for tasks, as r draws it.
+type world struct {
+	r        *rand.Rand
+	c        flaxshelf.Config
+	now      flaxshelf.Time
+	machines []flaxshelf.Machine
+	out      []attempt
+	tries    map[string]int
+	done     map[string]bool
+	ids      int
+	rate     int // tasks a step at most
+	patience int // in ms
+	lives    int // in ms
+	services int
+	next     int // machines ever
+}
+
+func (w *world) machine() flaxshelf.Machine {
+	w.next++
+	m := flaxshelf.Machine{ID: fmt.Sprintf("m%d", (w.next*7919)%100003), Kind: w.r.IntN(2), Zone: fmt.Sprint("z", w.r.IntN(3)),
+		Cell: w.r.IntN(5)}
+	w.free(&m)
+	return m
+}
+
+func (w *world) free(m *flaxshelf.Machine) {
+	if w.c.ListsFree {
+		k := w.c.Kinds[max(m.Kind, 0)]
+		m.FreeCores, m.FreeMemory = k.Cores*w.r.Float64(), k.Memory*w.r.Float64()
+	}
+}
+
+// changes moves the list.
+func (w *world) changes() flaxshelf.Event {
+	r := w.r
+	if r.IntN(12) == 0 {
+		return flaxshelf.ListFailed{}
+	}
+	if r.IntN(20) == 0 {
+		return flaxshelf.Listed{Whole: true, Machines: append([]flaxshelf.Machine(nil), w.machines...)}
+	}
+	var some []flaxshelf.Machine
+	for range 1 + r.IntN(4) {
+		i := r.IntN(len(w.machines))
+		m := &w.machines[i]
+		switch r.IntN(12) {
+		case 0:
+			m.State = flaxshelf.Draining
+		case 1:
+			m.State = flaxshelf.Out
+		case 2:
+			m.Started, m.State = w.now, flaxshelf.In
+		case 3: // replaced
+			some = append(some, *m)
+			some[len(some)-1].State = flaxshelf.Out
+			*m = w.machine()
+			m.Started = w.now
+		case 4:
+			m.Kind = r.IntN(3) - 1
+		case 5:
+			m.Zone, m.Cell = fmt.Sprint("z", r.IntN(3)), r.IntN(5)
+		default:
+			m.State = flaxshelf.In
+			w.free(m)
+		}
+		some = append(some, *m)
+	}
+	return flaxshelf.Listed{Machines: some}
+}
+
+// outcomes ends or places what is due.
+func (w *world) outcomes() (es []flaxshelf.Event) {
+	r := w.r
+	load := func() flaxshelf.Load {
+		return flaxshelf.Load{Told: r.IntN(2) == 0, HasCores: true, HasMemory: r.IntN(2) == 0,
+			FreeCores: 16 * r.Float64(), FreeMemory: 50 * r.Float64()}
+	}
+	kept := w.out[:0]
+	for _, a := range w.out {
+		switch {
+		case w.now < a.due:
+			if a.placed && r.IntN(50) == 0 {
+				es = append(es, flaxshelf.Note{Task: a.task, Machine: a.machine, Attempt: a.n,
+					Kind: flaxshelf.NoteKind(1 + r.IntN(5)), Amount: r.Float64()})
+			}
+		case !a.placed && r.IntN(4) > 0:
+			es = append(es, flaxshelf.Placed{Task: a.task, Machine: a.machine, Attempt: a.n, Lag: 20 * ms})
+			a.placed, a.due = true, w.now+time.Duration(r.IntN(w.lives))*ms
+			w.done[a.task] = true
+		default:
+			v := flaxshelf.Verdict(1 + r.IntN(7))
+			if a.placed {
+				v = []flaxshelf.Verdict{flaxshelf.Finished, flaxshelf.Finished, flaxshelf.Lost}[r.IntN(3)]
+			}
+			es = append(es, flaxshelf.Ended{Task: a.task, Machine: a.machine, Attempt: a.n, Verdict: v,
+				Done: w.done[a.task], Reason: flaxshelf.Reason(r.IntN(8)), Load: load()})
+			continue
+		}
+		kept = append(kept, a)
+	}
+	w.out = kept
+	return es
+}
+
+func (w *world) step() (es []flaxshelf.Event) {
+	es = w.outcomes()
+	r := w.r
+	task := func() flaxshelf.Task {
+		w.ids++
+		t := flaxshelf.Task{ID: fmt.Sprint("t", w.ids), Service: fmt.Sprint("s", r.IntN(w.services)),
+			Class: r.IntN(4), Cores: []float64{0.1, 1, 2.3, 9}[r.IntN(4)], Memory: 3 * r.Float64(), Tenant: r.IntN(3) - 1,
+			ValidUntil: w.now + time.Duration(20+r.IntN(w.patience))*ms}
+		if r.IntN(3) == 0 {
+			t.Life = time.Duration(r.IntN(5000)) * ms
+		}
+		return t
+	}
+	for range r.IntN(w.rate + 1) {
+		es = append(es, flaxshelf.Place{Task: task()})
+	}
+	if r.IntN(30) == 0 {
+		es = append(es, flaxshelf.Running{Task: task(), Machine: w.machines[r.IntN(len(w.machines))].ID})
+	}
+	if r.IntN(8) == 0 {
+		es = append(es, w.changes())
+	}
+	if r.IntN(40) == 0 {
+		es = append(es, flaxshelf.Probed{Machine: w.machines[r.IntN(len(w.machines))].ID, Load: flaxshelf.Load{Told: true,
+			HasCores: true, FreeCores: 8}})
+	}
+	if w.ids > 0 && r.IntN(40) == 0 {
+		es = append(es, flaxshelf.Gone{Task: fmt.Sprint("t", 1+r.IntN(w.ids))})
+	}
+	return append(es, flaxshelf.Woken{})
+}
+
+// The module with sets and columns answers as the former text does, action by action, in worlds of all sorts.
+func TestSameDecisions(t *testing.T) {
+	given, offers, held := 0, 0, 0
+	for round := uint64(0); given < *events; round++ {
+		rapid.Check(t, func(t *rapid.T) {
+			c := config(t)
+			seed := rapid.Uint64().Draw(t, "seed")
+			r := rand.New(rand.NewPCG(seed, round))
+			w := &world{r: r, c: c, now: time.Second, tries: map[string]int{}, done: map[string]bool{},
+				rate: 1 + r.IntN(8), patience: 1 + r.IntN(4000), lives: 1 + r.IntN(8000), services: 1 + r.IntN(20)}
+			for range 2 + r.IntN(150) {
+				w.machines = append(w.machines, w.machine())
+			}
+			twin, err := former.NewTwin(c, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			es := []flaxshelf.Event{flaxshelf.Listed{Whole: true, Machines: append([]flaxshelf.Machine(nil), w.machines...)}}
+			for range 120 {
+				got := twin.Step(w.now, es)
+				if twin.Err != nil {
+					t.Fatalf("%v\nafter %v", twin.Err, es)
+				}
+				for _, a := range got {
+					switch a := a.(type) {
+					case flaxshelf.Offer:
+						offers++
+						w.out = append(w.out, attempt{task: a.Task, machine: a.Machine, n: w.tries[a.Task],
+							due: w.now + time.Duration(r.Int64N(int64(a.Timeout)+1))})
+						w.tries[a.Task]++
+					case flaxshelf.Refuse:
+						held++
+						w.done[a.Task] = true
+					case flaxshelf.Fail:
+						w.done[a.Task] = true
+					}
+				}
+				w.now += time.Duration(1+r.IntN(30)) * 2 * ms
+				es = w.step()
+			}
+			given += twin.Events
+		})
+		if t.Failed() {
+			return
+		}
+	}
+	t.Logf("%d events, %d offers, %d refusals", given, offers, held)
+	if offers < given/20 || held == 0 {
+		t.Errorf("%d events, %d offers, %d refusals: the worlds exercise too little", given, offers, held)
+	}
+}
--- a/placer.go
+++ b/placer.go
@@ -12,6 +12,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/bits-and-blooms/bitset"
 )
 
 // ---- Tuned values. None comes from a deployment; times are against the settings where one fits.
@@ -45,12 +47,13 @@
 		return nil, err
 	}
 	p := &Placer{
-		cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		machines: map[string]*machine{}, tasks: map[string]*task{},
+		cfg: cfg, src: rand.NewPCG(seed, 0x9e3779b97f4a7c15), index: newIndex(&cfg),
+		machines: map[string]*machine{}, tasks: map[string]*task{}, services: map[string]*service{},
 		lives:   make([]lifetime, len(cfg.Classes)),
 		tenants: map[int]float64{},
 		unknown: Class{Effect: Unsafe, Kind: -1},
 	}
+	p.rng = rand.New(p.src)
 	return p, nil
 }
 
@@ -66,6 +69,8 @@
 	}
 	p.now, p.out = max(now, p.now), nil
 	p.steps++
+	p.expire()
+	clear(p.index.held)
 	if p.wakes <= p.now {
 		p.wakes = 0
 	}
@@ -124,9 +129,7 @@
 }
 
 func (p *Placer) listed(e Listed) {
-	named := make(map[string]bool, len(e.Machines))
 	for _, entry := range e.Machines {
-		named[entry.ID] = true
 		m := p.machine(entry.ID)
 		if entry.Kind < 0 || entry.Kind >= len(p.cfg.Kinds) {
 			entry.Kind = -1
@@ -135,17 +138,23 @@
 			p.restarted(m)
 		}
 		if entry.State == Out && m.State != Out {
-			m.goneAt = p.now
-			p.forgetBinds(m, p.now)
+			p.goes(m)
 		}
 		m.Machine, m.listed = entry, true
 		m.newCores, m.newMemory, m.viewAt = 0, 0, p.now
+		p.settleIn(m)
+		p.touch(m)
 	}
 	if e.Whole {
+		named := make(map[string]bool, len(e.Machines))
+		for _, entry := range e.Machines {
+			named[entry.ID] = true
+		}
 		for _, m := range p.order {
 			if !named[m.ID] && m.State != Out {
-				m.State, m.goneAt = Out, p.now
-				p.forgetBinds(m, p.now)
+				m.State = Out
+				p.goes(m)
+				p.touch(m)
 			}
 		}
 	}
@@ -154,6 +163,13 @@
 	}
 }
 
+// goes is for a machine that is out from now on.
+func (p *Placer) goes(m *machine) {
+	m.goneAt = p.now
+	p.outs = append(p.outs, m)
+	p.forgetBinds(m, p.now)
+}
+
 // restarted clears what was known of a machine's former life.
 func (p *Placer) restarted(m *machine) {
 	m.health, m.strained, m.fullBar, m.load = health{}, 0, 0, Load{}
@@ -166,7 +182,7 @@
 func (p *Placer) forgetBinds(m *machine, before Time) {
 	for _, b := range p.history {
 		if b.m == m && b.at < before {
-			b.off = true
+			p.takeOff(b)
 		}
 	}
 }
@@ -205,6 +221,7 @@
 	}
 	p.served(&a.m.health)
 	p.served(a.m.record(t.Class))
+	p.touch(a.m)
 }
 
 func (p *Placer) ended(e Ended) {
@@ -218,7 +235,7 @@
 	a.live, a.done = false, true
 	a.proved = e.Verdict == Refused || e.Verdict == Unreachable || e.Verdict == NotSent
 	if a.proved {
-		a.history.off = true // it never ran, so it leaves the history
+		p.takeOff(a.history) // it never ran, so it leaves the history
 	}
 	p.release(t, a.m)
 	if a.placed {
@@ -228,6 +245,7 @@
 	}
 	p.learnLife(t, a, e.Verdict)
 	p.judge(t, a, e)
+	p.touch(a.m)
 	if e.Done || a.placed {
 		t.settled = true
 	}
@@ -241,14 +259,21 @@
 	for cut < len(p.history) && p.history[cut].at < oldest {
 		cut++
 	}
-	p.history = append(p.history[:0], p.history[cut:]...)
-	p.history = slices.DeleteFunc(p.history, func(b *bind) bool { return b.off })
-	p.order = slices.DeleteFunc(p.order, func(m *machine) bool {
-		if m.State == Out && len(m.services) == 0 && p.now-m.goneAt > keepUnseen {
-			delete(p.machines, m.ID)
-			return true
+	if cut > 0 {
+		p.history = append(p.history[:0], p.history[cut:]...)
+	}
+	if p.offs > 0 {
+		p.history = slices.DeleteFunc(p.history, func(b *bind) bool { return b.off })
+		p.offs = 0
+	}
+	p.outs = slices.DeleteFunc(p.outs, func(m *machine) bool {
+		if m.State == Out && (len(m.services) > 0 || p.now-m.goneAt <= keepUnseen) {
+			return false
 		}
-		return false
+		if m.State == Out {
+			p.forgetMachine(m)
+		}
+		return true
 	})
 }
 
@@ -367,12 +392,14 @@
 	switch {
 	case e.Kind == Served && e.Amount < 0.95, e.Kind == MemoryShort && e.Amount > shortMemory:
 		a.m.strained = max(a.m.strained, p.now+strainBar)
+		p.touch(a.m)
 	}
 }
 
 func (p *Placer) report(m *machine, l Load) {
 	if l.Told {
 		m.load, m.loadAt = l, p.now
+		p.touch(m)
 	}
 }
 
@@ -419,58 +446,146 @@
 
 // choose picks a machine for t: hard bars, soft bars, vote. Nil where the hard bars leave none.
 func (p *Placer) choose(t *task) *machine {
-	var left []*machine
-	for _, m := range p.order {
-		if p.allowed(t, m) {
-			left = append(left, m)
+	p.refresh()
+	ask := alike{class: t.Class, cores: t.Cores, memory: t.Memory, late: p.late(t)}
+	if t.class.Spread != Nowhere {
+		ask.service = t.Service
+	}
+	if len(t.attempts) == 0 && p.index.held[ask] {
+		return nil // as for one that asked alike before in this step, and nothing was offered since
+	}
+	if m := p.vote(p.prefer(t, p.allowed(t))); m != nil || len(t.attempts) > 0 {
+		return m
+	}
+	p.index.held[ask] = true
+	return nil
+}
+
+// review writes what holds of m now into the sets that the bars work on, and has it looked at again when that ends.
+func (p *Placer) review(m *machine) {
+	x, i := &p.index, m.at
+	kind := -1
+	if m.listed && m.Kind >= 0 {
+		kind = m.Kind
+	}
+	if x.kind[i] != int32(kind) {
+		x.kind[i] = int32(kind)
+		x.shape++
+	}
+	for k := range x.kinds {
+		put(x.kinds[k], i, kind == k && m.State == In)
+	}
+	next := Time(math.MaxInt64)
+	until := func(end Time) bool {
+		if p.now < end {
+			next = min(next, end)
+		}
+		return p.now < end
+	}
+	put(x.cold, i, p.cold(m) && until(p.coldUntil(m)))
+	put(x.failing, i, until(m.bar))
+	for c := range x.classes {
+		put(x.classes[c], i, until(m.classes[c].bar))
+	}
+	put(x.strained, i, until(m.strained))
+	put(x.refusing, i, until(m.fullBar))
+	put(x.rushed, i, m.window > 0 && m.waiting >= m.window)
+	x.told[i] = p.told(m)
+	put(x.reporting, i, m.load.Told && until(m.loadAt+reportFresh+1))
+	x.useCores[i], x.useMemory[i] = 0, 0
+	if kind >= 0 && p.cfg.ListsFree {
+		k := p.cfg.Kinds[kind]
+		x.baseCores[i] = m.FreeCores + (p.cfg.AcceptCores-1)*k.Cores
+		x.baseMemory[i] = m.FreeMemory + (p.cfg.AcceptMemory-1)*k.Memory
+		if m.State != Out {
+			x.useCores[i] = k.Cores - m.FreeCores + m.newCores
+			x.useMemory[i] = k.Memory - m.FreeMemory + m.newMemory
 		}
+		x.others[i] = p.others(m)
+		if asked := p.asked(m); asked != x.asked[i] {
+			x.asked[i] = asked
+			x.askedOld = append(x.askedOld, int32(i))
+		}
+		if m.lateIn != x.lateStep {
+			m.lateCores, m.lateMemory = 0, 0
+		}
+		x.takeOff(m)
 	}
-	if len(left) == 0 {
-		return nil
+	if next < math.MaxInt64 {
+		x.due.Set(&m.due, next)
+	} else {
+		x.due.Remove(&m.due)
 	}
-	return p.vote(p.prefer(t, left))
 }
 
-// allowed is the hard bars.
-func (p *Placer) allowed(t *task, m *machine) bool {
-	c := t.class
-	return m.listed && m.State == In && m.Kind >= 0 &&
-		(c.Kind < 0 || c.Kind == m.Kind) &&
-		p.fits(t, m) && p.inGroup(t, m) && p.spreadLeft(t, m) && p.coldLeft(m)
+// allowed is the hard bars: listed, in service, of a kind that serves the class and would take the task empty.
+func (p *Placer) allowed(t *task) *bitset.BitSet {
+	x, c := &p.index, t.class
+	left := x.left.ClearAll()
+	for k := range x.kinds {
+		if (c.Kind < 0 || c.Kind == k) && p.fits(t, k) {
+			left.InPlaceUnion(x.kinds[k])
+		}
+	}
+	p.inGroup(t, left)
+	p.spreadLeft(t, left)
+	both(left, x.cold, func(i int) {
+		if !p.coldLeft(p.order[i]) {
+			left.Clear(uint(i))
+		}
+	})
+	return left
 }
 
 // fits tells whether an empty machine of this kind would take the task.
-func (p *Placer) fits(t *task, m *machine) bool {
-	k := p.cfg.Kinds[m.Kind]
+func (p *Placer) fits(t *task, kind int) bool {
+	k := p.cfg.Kinds[kind]
 	return t.Cores <= k.Cores*max(p.cfg.AcceptCores, 1) && t.Memory <= k.Memory*max(p.cfg.AcceptMemory, 1)
 }
 
 // inGroup keeps the second rule: once an attempt may have run, the next must be harmless.
-func (p *Placer) inGroup(t *task, m *machine) bool {
+func (p *Placer) inGroup(t *task, left *bitset.BitSet) {
 	for i := range t.attempts {
 		a := &t.attempts[i]
 		if a.proved || t.class.Effect == Safe {
 			continue
 		}
 		late := p.now+p.cfg.Tick >= a.sent+t.class.Window
-		if t.class.Effect != Keyed || !same(t.class.Group, a.m, m) || late {
-			return false
+		if t.class.Effect != Keyed || late {
+			left.ClearAll()
+			return
 		}
+		both(left, left, func(i int) {
+			if !same(t.class.Group, a.m, p.order[i]) {
+				left.Clear(uint(i))
+			}
+		})
 	}
-	return true
 }
 
-func (p *Placer) spreadLeft(t *task, m *machine) bool {
-	if t.class.Spread == Nowhere {
-		return true
+// spreadLeft keeps the fifth rule: where a service has its most, it gets no more.
+func (p *Placer) spreadLeft(t *task, left *bitset.BitSet) {
+	s := p.services[t.Service]
+	if t.class.Spread == Nowhere || s == nil {
+		return
+	}
+	places := s.zones
+	switch t.class.Spread {
+	case OnMachine:
+		for _, i := range s.held {
+			if p.order[i].services[t.Service].n >= t.class.Most {
+				left.Clear(uint(i))
+			}
+		}
+		return
+	case InCell:
+		places = s.cells
 	}
-	n := 0
-	for _, o := range p.order {
-		if same(t.class.Spread, o, m) {
-			n += o.services[t.Service]
+	for at, n := range places { // in any order: each takes its own machines away
+		if n >= t.class.Most {
+			left.InPlaceDifference(at.bits)
 		}
 	}
-	return n < t.class.Most
 }
 
 // coldLeft keeps the fourth rule with this scheduler's share of the offers that a cold machine always bears.
@@ -524,60 +639,97 @@
 }
 
 func (p *Placer) cold(m *machine) bool {
-	return m.Started > 0 && p.cfg.FallWindow > 0 && p.now < m.Started+p.cfg.ColdFor+p.cfg.FallWindow
+	return m.Started > 0 && p.cfg.FallWindow > 0 && p.now < p.coldUntil(m)
 }
 
+func (p *Placer) coldUntil(m *machine) Time { return m.Started + p.cfg.ColdFor + p.cfg.FallWindow }
+
 // prefer is the soft bars, strongest first. One that would leave fewer than its least is skipped, so bad
 // evidence never stops placing; that is the fixed order in which they give way, last to first.
-func (p *Placer) prefer(t *task, left []*machine) []*machine {
-	keep := func(least int, ok func(*machine) bool) {
-		var kept []*machine
-		for _, m := range left {
-			if ok(m) {
-				kept = append(kept, m)
-			}
-		}
-		if len(kept) >= least {
-			left = kept
+func (p *Placer) prefer(t *task, left *bitset.BitSet) []candidate {
+	x, n := &p.index, left.Count()
+	if n == 0 {
+		return nil
+	}
+	bar := func(least uint, barred *bitset.BitSet) {
+		if kept := left.DifferenceCardinality(barred); kept >= least && kept < n {
+			left.InPlaceDifference(barred)
+			n = kept
 		}
 	}
 	// Tried already for this ask: another machine tells more.
-	keep(1, func(m *machine) bool { return !t.tried(m) })
+	if len(t.attempts) > 0 {
+		tried := x.spare.ClearAll()
+		for _, a := range t.attempts {
+			if a.m.at >= 0 {
+				tried.Set(uint(a.m.at))
+			}
+		}
+		bar(1, tried)
+	}
 	// Failing, lost or out of reach. When over half are, the cause is not a machine.
-	keep(max(several, len(left)/2), func(m *machine) bool { return p.now >= m.bar })
+	bar(max(several, n/2), x.failing)
 	// Failing this class. That may be most machines: those that serve it are kept.
-	keep(several, func(m *machine) bool { return p.now >= m.record(t.Class).bar })
+	if t.Class >= 0 && t.Class < len(x.classes) {
+		bar(several, x.classes[t.Class])
+	} else {
+		bar(several, x.failing)
+	}
 	// Full as far as told. A refused offer is priced and uses up an attempt, so a task is held while no
 	// machine has room; late in its time it is tried once all the same, in case the evidence is wrong.
-	least := 0
-	if p.now >= t.taken+(t.ValidUntil-t.taken)*3/4 && len(t.attempts) == 0 {
+	least := uint(0)
+	if p.late(t) {
 		least = 1
 	}
-	keep(least, func(m *machine) bool { return !p.full(t, m) })
-	if len(left) == 0 {
+	bar(least, p.full(t, left))
+	if n == 0 {
 		return nil
 	}
 	if p.cfg.Prices.Fleet > 0 && p.cfg.ListsFree {
-		used := p.inUse(left)
-		keep(several, func(m *machine) bool { return used[m] })
-	}
-	keep(several, func(m *machine) bool { return p.now >= m.strained })
-	mean := 0.0
-	for _, m := range left {
-		mean += p.told(m) / float64(len(left))
+		if used := p.inUse(left); left.IntersectionCardinality(used) >= several {
+			left.InPlaceIntersection(used)
+			n = left.Count()
+		}
 	}
-	keep(several, func(m *machine) bool { return p.told(m) < mean+overMean })
-	home := p.homes(t, left)
-	keep(several, func(m *machine) bool { return home[m] })
-	return left
+	bar(several, x.strained)
+	bar(several, p.contradicted(left, n))
+	return p.homes(t, left, n)
+}
+
+// late tells that a task that was never offered has little of its time left.
+func (p *Placer) late(t *task) bool {
+	return p.now >= t.taken+(t.ValidUntil-t.taken)*3/4 && len(t.attempts) == 0
 }
 
 // full: it lately refused such a size, or enough offers are out since to find out, or the list tells no room.
 // After a refusal one offer may be out, after each acceptance one more: else all tasks that were held go to
 // the first machine that takes one (incident i959772).
-func (p *Placer) full(t *task, m *machine) bool {
-	rushed := m.window > 0 && m.waiting >= m.window
-	return p.now < m.fullBar && p.size(t, m) >= m.fullSize || rushed || !p.room(t, m)
+//
+// The list is late, so what we asked of the machine since listLate before its word counts as asked too,
+// against a rush of ours onto room that is gone. Guessing the others' binds held too many tasks back.
+func (p *Placer) full(t *task, left *bitset.BitSet) *bitset.BitSet {
+	x := &p.index
+	full := x.spare.ClearAll()
+	both(left, x.refusing, func(i int) {
+		if m := p.order[i]; p.size(t, m) >= m.fullSize {
+			full.Set(uint(i))
+		}
+	})
+	full.InPlaceUnion(x.rushed)
+	if p.cfg.ListsFree {
+		p.lateSums(left.Difference(full), listLate)
+		x.lacking(left, full, t.Cores, t.Memory)
+	}
+	return full
+}
+
+// contradicted: the last report is far over the mean of the others left.
+func (p *Placer) contradicted(left *bitset.BitSet, n uint) *bitset.BitSet {
+	x, mean := &p.index, 0.0
+	both(left, x.reporting, func(i int) { mean += x.told[i] / float64(n) })
+	over := x.spare.ClearAll()
+	both(left, x.reporting, func(i int) { put(over, i, !(x.told[i] < mean+overMean)) })
+	return over
 }
 
 // told is the load that a machine's last report tells; 0 without a fresh one.
@@ -595,54 +747,25 @@
 	return load
 }
 
-// room tells whether the list's free cores and memory leave room for t; true where it tells none.
-//
-// The list is late, so what we asked of the machine since listLate before its word counts as asked too,
-// against a rush of ours onto room that is gone. Guessing the others' binds held too many tasks back.
-func (p *Placer) room(t *task, m *machine) bool {
-	if !p.cfg.ListsFree {
-		return true
-	}
-	k := p.cfg.Kinds[m.Kind]
-	cores := m.FreeCores + (p.cfg.AcceptCores-1)*k.Cores
-	memory := m.FreeMemory + (p.cfg.AcceptMemory-1)*k.Memory
-	if m.lateIn != p.steps { // once a step, since thousands may wait; occupy adds to it
-		m.lateIn, m.lateCores, m.lateMemory = p.steps, 0, 0
-		for _, b := range slices.Backward(p.recent()) {
-			if b.at < m.viewAt-listLate {
-				break
-			}
-			if b.m == m && !b.off {
-				m.lateCores += b.cores
-				m.lateMemory += b.memory
-			}
-		}
-	}
-	return cores-m.lateCores >= t.Cores && memory-m.lateMemory >= t.Memory
-}
-
 // inUse names the machines that suffice for what the whole fleet is asked for now, filled to fleetFill, the
 // fullest by the list's word first: all schedulers share that order, and those left out empty the soonest.
 // The others drain, where the settings price machines in use. Could hurt where the fullest are the crowded
 // ones: the bars on strained and contradicted machines come after it for that.
-func (p *Placer) inUse(left []*machine) map[*machine]bool {
-	var cores, memory float64
-	for _, m := range p.order {
-		if m.listed && m.State != Out && m.Kind >= 0 {
-			k := p.cfg.Kinds[m.Kind]
-			cores += k.Cores - m.FreeCores + m.newCores
-			memory += k.Memory - m.FreeMemory + m.newMemory
-		}
-	}
-	used := map[*machine]bool{}
-	order := slices.Clone(left)
-	slices.SortStableFunc(order, func(a, b *machine) int { return cmp.Compare(p.asked(b), p.asked(a)) })
-	for _, m := range order {
-		if cores <= 0 && memory <= 0 && len(used) > several {
+func (p *Placer) inUse(left *bitset.BitSet) *bitset.BitSet {
+	x := &p.index
+	cores, memory := x.sums()
+	ranked := x.ranked()
+	used, n := x.spare.ClearAll(), 0
+	for _, i := range ranked {
+		if !left.Test(uint(i)) {
+			continue
+		}
+		if cores <= 0 && memory <= 0 && n > several {
 			break
 		}
-		k := p.cfg.Kinds[m.Kind]
-		used[m] = true
+		k := p.cfg.Kinds[x.kind[i]]
+		used.Set(uint(i))
+		n++
 		cores -= k.Cores * fleetFill
 		memory -= k.Memory * fleetFill
 	}
@@ -656,82 +779,100 @@
 //
 // A machine is home to services in proportion to its size (weighted rendezvous hashing), since schedulers
 // with few binds of their own follow the homes far more than the replay.
-func (p *Placer) homes(t *task, left []*machine) map[*machine]bool {
-	home := map[*machine]bool{}
-	for _, m := range left {
-		if m.services[t.Service] > 0 {
-			home[m] = true
+func (p *Placer) homes(t *task, left *bitset.BitSet, n uint) []candidate {
+	x, s := &p.index, p.service(t.Service)
+	first, second := x.best(s, left)
+	list, found := x.candidates[:0], false
+	for _, i := range s.held {
+		if left.Test(uint(i)) {
+			list = append(list, candidate{i, x.rankKey(s, i)})
+			found = found || i == first
 		}
 	}
-	service := hash(t.Service)
-	ranks := slices.Clone(left)
-	for _, m := range ranks {
-		m.rank = math.Log(float64(mix(m.hash^service)>>11+1)/(1<<53)) / p.weight(m)
-	}
-	slices.SortFunc(ranks, func(a, b *machine) int { return cmp.Compare(b.rank, a.rank) })
-	home[ranks[0]] = true
-	for _, m := range ranks {
-		if len(home) < several {
-			home[m] = true
-		}
+	if !found {
+		list = append(list, candidate{first, x.rankKey(s, first)})
 	}
-	return home
-}
-
-// weight is a machine's size among the kinds: the smaller of its shares of the largest cores and memory.
-func (p *Placer) weight(m *machine) float64 {
-	var most Kind
-	for _, k := range p.cfg.Kinds {
-		most.Cores, most.Memory = max(most.Cores, k.Cores), max(most.Memory, k.Memory)
+	if len(list) < several && second >= 0 {
+		list = append(list, candidate{second, x.rankKey(s, second)})
 	}
-	k := p.cfg.Kinds[m.Kind]
-	return min(k.Cores/most.Cores, k.Memory/most.Memory)
+	x.candidates = list
+	return list
 }
 
 // ---- Replay.
 
-// vote replays the history r times from an empty fleet. Each run names the least loaded machine of left now;
-// the one named most often wins, ties at random.
-func (p *Placer) vote(left []*machine) *machine {
-	switch len(left) {
+// candidate is a machine in the vote, by its number, with its rank among the homes of the service in hand.
+type candidate struct {
+	i    int32
+	rank rankKey
+}
+
+// vote replays the history r times from what others asked. Each run names the least loaded candidate now; the one
+// named most often wins.
+//
+// Of the candidates that the history does not touch only the least loaded can be named, since their load is the same
+// in all runs; the others of them are left out.
+func (p *Placer) vote(list []candidate) *machine {
+	switch len(list) {
 	case 0:
 		return nil
 	case 1:
-		return left[0]
+		return p.order[list[0].i]
 	}
-	index := make(map[*machine]int, len(left))
-	others := make([]float64, len(left))
-	for i, m := range left {
-		index[m], others[i] = i, p.others(m)
+	x := &p.index
+	for n, c := range list {
+		x.pick[c.i] = int32(n) + 1
 	}
 	type replayed struct {
-		i             int
+		n             int32
 		cores, memory float64
-		alive         float64 // chance that the drawn life reaches to now
+		alive         uint64 // chance that the drawn life reaches to now, in 1<<53rds
 	}
-	var rs []replayed
+	touched := make([]bool, len(list))
+	rs := make([]replayed, 0, 64)
 	for _, b := range p.recent() {
-		i, ok := index[b.m]
-		if !ok || b.off || b.m.Kind < 0 {
+		if b.off || b.m.at < 0 || x.pick[b.m.at] == 0 || b.m.Kind < 0 {
 			continue
 		}
+		n := x.pick[b.m.at] - 1
 		k := p.cfg.Kinds[b.m.Kind]
-		rs = append(rs, replayed{i, b.cores / k.Cores, b.memory / k.Memory, p.alive(b)})
+		touched[n] = true
+		rs = append(rs, replayed{n, b.cores / k.Cores, b.memory / k.Memory, uint64(math.Ceil(p.alive(b) * (1 << 53)))})
+	}
+	idle := -1
+	for n, c := range list {
+		x.pick[c.i] = 0
+		if !touched[n] && (idle < 0 || p.before(c, list[idle], x.others[c.i], x.others[list[idle].i]) < 0) {
+			idle = n
+		}
+	}
+	live, at := make([]candidate, 0, 16), make([]int32, len(list))
+	for n, c := range list {
+		if touched[n] || p.before(c, list[idle], x.others[c.i], x.others[list[idle].i]) == 0 {
+			at[n] = int32(len(live))
+			live = append(live, c)
+		}
 	}
-	votes := make([]int, len(left))
-	cores, memory := make([]float64, len(left)), make([]float64, len(left))
+	for i := range rs {
+		rs[i].n = at[rs[i].n]
+	}
+	votes, loads := make([]float64, len(live)), make([]float64, len(live))
+	cores, memory := make([]float64, len(live)), make([]float64, len(live))
 	for range runs {
 		clear(cores)
 		clear(memory)
-		for _, r := range rs {
-			if r.alive >= 1 || p.rng.Float64() < r.alive {
-				cores[r.i] += r.cores
-				memory[r.i] += r.memory
+		for i := range rs {
+			if r := &rs[i]; r.alive >= 1<<53 || p.src.Uint64()<<11>>11 < r.alive {
+				cores[r.n] += r.cores
+				memory[r.n] += r.memory
 			}
 		}
-		votes[p.least(left, func(i int) float64 { return others[i] + max(cores[i], memory[i]) })]++
+		for n, c := range live {
+			loads[n] = x.others[c.i] + max(cores[n], memory[n])
+		}
+		votes[p.least(live, loads)]--
 	}
-	return left[p.least(left, func(i int) float64 { return -float64(votes[i]) })]
+	return p.order[live[p.least(live, votes)].i]
 }
 
 // others is what other schedulers have asked of m by the list's word, as a share of its kind; 0 where the
@@ -772,10 +913,10 @@
 // least returns the index of the least value. A tie goes to the better home, and at random where there are
 // none: with few binds beside the machines most tie at none, and a draw would have every service started anew
 // on each of its homes.
-func (p *Placer) least(left []*machine, value func(int) float64) int {
+func (p *Placer) least(list []candidate, value []float64) int {
 	best, ties := 0, 1
-	for i := 1; i < len(left); i++ {
-		d := cmp.Or(cmp.Compare(value(i), value(best)), cmp.Compare(left[best].rank, left[i].rank))
+	for i := 1; i < len(list); i++ {
+		d := p.before(list[i], list[best], value[i], value[best])
 		switch {
 		case d < 0:
 			best, ties = i, 1
@@ -788,13 +929,21 @@
 	return best
 }
 
+// before is below 0 where candidate a with its value comes before b.
+func (p *Placer) before(a, b candidate, va, vb float64) int {
+	if va != vb {
+		return cmp.Compare(va, vb)
+	}
+	return b.rank.compare(a.rank)
+}
+
 // ---- Answers.
 
 // serve goes through the open tasks: it answers what is due and offers what has no attempt out.
 //
 // Those that can still start within their aim go first: when room is short, a start in time is worth most.
 func (p *Placer) serve() {
-	slices.SortStableFunc(p.open, func(a, b *task) int { return cmp.Compare(p.rank(a), p.rank(b)) })
+	p.sortOpen()
 	for _, t := range p.open {
 		if t.settled {
 			continue
@@ -810,6 +959,7 @@
 	p.open = slices.DeleteFunc(p.open, func(t *task) bool { return t.settled })
 }
 
+// rank is below ranks.
 func (p *Placer) rank(t *task) int {
 	rank := 0
 	if p.now > t.taken+t.class.Aim {
@@ -849,6 +999,7 @@
 	p.occupy(t, m)
 	p.probe(&m.health)
 	p.probe(m.record(t.Class))
+	p.touch(m)
 	if p.cold(m) {
 		m.offers = slices.DeleteFunc(m.offers, func(at Time) bool { return p.now-at > 2*p.cfg.FallWindow })
 		m.offers = append(m.offers, p.now)
--- a/state.go
+++ b/state.go
@@ -8,30 +8,38 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"flaxshelf.example/flaxshelf/internal/dueheap"
 )
 
 // Placer makes the decisions of one scheduler.
 type Placer struct {
-	cfg      Config
-	rng      *rand.Rand
-	now      Time
-	born     Time
-	started  bool
-	steps    int
-	out      []Action
-	machines map[string]*machine
-	order    []*machine // by ID
-	tasks    map[string]*task
-	open     []*task // taken, not yet settled, in order of arrival
-	history  []*bind // in order of time
-	lives    []lifetime
-	tenants  map[int]float64 // cores asked by our attempts and tasks, by tenant
-	lag      float64         // smoothed seconds from offer to Placed
-	lagDev   float64
-	wakes    Time // the earliest wake still to come; 0: none
-	askAt    Time // when to subscribe next; 0: not needed
-	askFails int
-	unknown  Class
+	cfg       Config
+	src       *rand.PCG
+	rng       *rand.Rand // of src
+	index     index
+	services  map[string]*service
+	outs      []*machine // that are out, and may have come back since
+	offs      int        // binds that left the history since it was pruned
+	now       Time
+	born      Time
+	started   bool
+	steps     int
+	out       []Action
+	machines  map[string]*machine
+	order     []*machine // by ID
+	tasks     map[string]*task
+	open      []*task // taken, not yet settled, in order of arrival
+	spareOpen []*task
+	history   []*bind // in order of time
+	lives     []lifetime
+	tenants   map[int]float64 // cores asked by our attempts and tasks, by tenant
+	lag       float64         // smoothed seconds from offer to Placed
+	lagDev    float64
+	wakes     Time // the earliest wake still to come; 0: none
+	askAt     Time // when to subscribe next; 0: not needed
+	askFails  int
+	unknown   Class
 }
 
 type machine struct {
@@ -55,10 +63,13 @@
 	newMemory             float64
 	load                  Load
 	loadAt                Time
-	services              map[string]int // our attempts and tasks there, by service
-	cores                 float64        // asked by them
+	services              map[string]*stay // our attempts and tasks there, by service
+	cores                 float64          // asked by them
 	memory                float64
-	rank                  float64 // among the homes of the service in hand
+	at                    int  // its number in the index; -1: none
+	dirty                 bool // it waits for review
+	due                   dueheap.Item[*machine]
+	zone, cell            *place // nil: not listed
 }
 
 // health is what outcomes say of a machine, or of a class there.
@@ -86,8 +97,12 @@
 	attempts []attempt
 	settled  bool // it has its final answer, or needs none
 	placed   bool
+	rank     int // among the open tasks of this step
 }
 
+// ranks bounds the ranks of open tasks.
+const ranks = 4
+
 // bind is one replayed offer: what was asked of which machine when, and the life drawn for it.
 type bind struct {
 	m             *machine
@@ -127,13 +142,16 @@
 func (p *Placer) machine(id string) *machine {
 	m := p.machines[id]
 	if m == nil {
-		m = &machine{goneAt: p.now, hash: hash(id), services: map[string]int{}}
+		m = &machine{goneAt: p.now, hash: hash(id), services: map[string]*stay{}, at: -1}
+		m.due.Value = m
 		m.classes = make([]health, len(p.cfg.Classes))
 		m.Machine = Machine{ID: id, Kind: -1, State: Out}
 		p.machines[id] = m
+		p.outs = append(p.outs, m)
 		byID := func(m *machine, id string) int { return cmp.Compare(m.ID, id) }
 		i, _ := slices.BinarySearchFunc(p.order, id, byID)
 		p.order = slices.Insert(p.order, i, m)
+		p.index.moved = true
 	}
 	return m
 }
@@ -151,21 +169,20 @@
 	b := &bind{m: m, at: p.now, class: t.Class, cores: t.Cores, memory: t.Memory, hint: t.Life}
 	p.history = append(p.history, b)
 	t.attempts = append(t.attempts, attempt{m: m, sent: p.now, live: true, history: b})
-	m.services[t.Service]++
+	p.enter(t.Service, m)
 	m.cores += t.Cores
 	m.memory += t.Memory
 	m.newCores += t.Cores
 	m.newMemory += t.Memory
-	m.lateCores += t.Cores
-	m.lateMemory += t.Memory
+	p.lateBind(m, t)
 	m.waiting++
+	p.touch(m)
 	p.tenants[t.Tenant] += t.Cores
 }
 
 func (p *Placer) release(t *task, m *machine) {
-	if m.services[t.Service]--; m.services[t.Service] <= 0 {
-		delete(m.services, t.Service)
-	}
+	p.leave(t.Service, m)
+	p.touch(m)
 	m.cores -= t.Cores
 	p.tenants[t.Tenant] -= t.Cores
 	m.memory -= t.Memory
@@ -180,6 +197,47 @@
 	}
 }
 
+// takeOff has a bind leave the history.
+func (p *Placer) takeOff(b *bind) {
+	if !b.off {
+		b.off = true
+		p.offs++
+	}
+}
+
+// forgetMachine drops a machine that is out and has nothing of ours.
+func (p *Placer) forgetMachine(m *machine) {
+	delete(p.machines, m.ID)
+	if i := slices.Index(p.order, m); i >= 0 {
+		p.order = slices.Delete(p.order, i, i+1)
+	}
+	p.index.due.Remove(&m.due)
+	p.index.moved, m.at = true, -1
+}
+
+// sortOpen brings the open tasks into the order of their ranks; those of one rank stay as they were.
+func (p *Placer) sortOpen() {
+	var count [ranks]int
+	sorted, last := true, 0
+	for _, t := range p.open {
+		t.rank = p.rank(t)
+		count[t.rank]++
+		sorted, last = sorted && t.rank >= last, t.rank
+	}
+	if sorted {
+		return
+	}
+	for i, n := 0, 0; i < ranks; i++ {
+		count[i], n = n, n+count[i]
+	}
+	p.spareOpen = append(p.spareOpen[:0], p.open...)
+	for _, t := range p.spareOpen {
+		p.open[count[t.rank]] = t
+		count[t.rank]++
+	}
+	clear(p.spareOpen)
+}
+
 // life is the record of a class's lives; nil for a class that the settings don't name.
 func (p *Placer) life(class int) *lifetime {
 	if class < 0 || class >= len(p.lives) {
@@ -242,7 +300,3 @@
 func (t *task) mayHaveRun() bool {
 	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return !a.proved })
 }
-
-func (t *task) tried(m *machine) bool {
-	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return a.m == m })
-}
