--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -1,8 +1,6 @@
 package asks
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"flaxshelf.example/flaxshelf"
@@ -259,13 +257,3 @@
 		c.figures.LostOffers++
 	}
 }
-
-// sortedTasks lists the tasks in a fixed order, since maps have none.
-func (c *Core) sortedTasks() []*task {
-	all := make([]*task, 0, len(c.tasks))
-	for _, t := range c.tasks {
-		all = append(all, t)
-	}
-	slices.SortFunc(all, func(a, b *task) int { return cmp.Compare(a.id, b.id) })
-	return all
-}
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"flaxshelf.example/flaxshelf"
+	"flaxshelf.example/flaxshelf/internal/connlimit"
 	"flaxshelf.example/flaxshelf/internal/dueheap"
 )
 
@@ -14,7 +16,9 @@
 	Seed   uint64
 	// Silent is how long a node may be out of reach before what stands there counts as cut. The platform wants owners told
 	// within 8 s of an end of which no word could come.
-	Silent time.Duration
+	Silent  time.Duration
+	Door    connlimit.Limits
+	MaxOpen int // set-ups that may wait for their answer; more are refused
 	// Tap, when set, is given each step of the module. It must not keep or change the slices.
 	Tap func(now Time, events []flaxshelf.Event, actions []flaxshelf.Action)
 }
@@ -29,26 +33,30 @@
 	out      []Effect
 	tasks    map[string]*task
 	owners   map[Conn]*owner
+	door     *connlimit.Door
+	silence  *timer // of the next owner's connection that says nothing
 	nodes    map[string]*node
 	links    map[Link]*link
 	lastLink Link
 	unsaid   []*Over // ends that no connection could be found for
 	timers   dueheap.Heap[func()]
+	feed     feed
 	stopping bool
 	figures  Figures
 }
 
 // New makes the core of one scheduler in a new life.
 func New(cfg Config) (*Core, error) {
-	if cfg.Silent <= 0 {
-		return nil, fmt.Errorf("asks: Config.Silent must be above 0")
+	if cfg.Silent <= 0 || cfg.MaxOpen < 1 || cfg.Door.Most < 1 || cfg.Door.Open < 1 || cfg.Door.Silent <= 0 {
+		return nil, fmt.Errorf("asks: Config: all bounds must be above 0")
 	}
 	p, err := flaxshelf.New(cfg.Module, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("asks: module settings: %w", err)
 	}
-	return &Core{cfg: cfg, placer: p, tasks: map[string]*task{}, owners: map[Conn]*owner{}, nodes: map[string]*node{},
-		links: map[Link]*link{}}, nil
+	return &Core{cfg: cfg, placer: p, tasks: map[string]*task{}, owners: map[Conn]*owner{},
+		door: connlimit.New(cfg.Door), nodes: map[string]*node{},
+		links: map[Link]*link{}, feed: feed{rng: rand.New(rand.NewPCG(cfg.Seed, 1))}}, nil
 }
 
 // rounds bounds how often one Step asks the module: what it does may end at once, as an offer to a node that has gone.
@@ -65,6 +73,7 @@
 		}
 		t.Value()
 	}
+	c.follow()
 	for _, in := range inputs {
 		c.take(in)
 	}
@@ -125,17 +134,22 @@
 	case Held:
 		c.held(in)
 	case Release:
-		c.released(in.Task)
+		c.released(in.Conn, in.Task)
 	case Moved:
-		c.released(in.Task)
+		c.released(in.Conn, in.Task)
 	case Tested:
 		if o := c.owners[in.Conn]; o != nil {
+			c.door.Used(c.now, connlimit.ID(in.Conn))
 			c.emit(Pong{in.Conn, in.Task, !c.stopping})
 		}
 	case Opened:
-		c.owners[in.Conn] = &owner{conn: in.Conn, host: in.Host}
+		c.opened(in)
 	case Closed:
 		c.closed(in.Conn)
+	case Wrong:
+		if c.door.Wrong(connlimit.ID(in.Conn)) {
+			c.expel(in.Conn)
+		}
 	case Up:
 		c.up(in.Link)
 	case Down:
@@ -149,9 +163,10 @@
 	case Listed:
 		c.listed(in)
 	case FeedUp:
+		c.feed.fails = 0
 		c.tell(flaxshelf.Listed{})
 	case FeedDown:
-		c.tell(flaxshelf.ListFailed{})
+		c.feedDown()
 	case Stop:
 		c.stopping = true
 	}
@@ -186,14 +201,6 @@
 // Idle tells whether nothing waits for an answer.
 func (c *Core) Idle() bool { return c.figures.Open == 0 }
 
-// OpenOn tells how many set-ups wait for an answer on an owner's connection.
-func (c *Core) OpenOn(conn Conn) int {
-	if o := c.owners[conn]; o != nil {
-		return o.open
-	}
-	return 0
-}
-
 // Figures tells what the core has and has done.
 func (c *Core) Figures() Figures {
 	f := c.figures
--- /dev/null
+++ b/internal/asks/feed.go
@@ -0,0 +1,48 @@
+package asks
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"flaxshelf.example/flaxshelf"
+)
+
+// feed is how the control feed is followed where the settings say that changes come unasked: the module asks for nothing
+// then, and the feed is a call all the same. Where changes must be asked for, the module's Subscribe is the call.
+type feed struct {
+	begun bool
+	fails int // calls that ended in a row
+	rng   *rand.Rand
+}
+
+const (
+	recallFirst = 100 * time.Millisecond
+	recallMost  = time.Second
+)
+
+// follow calls the feed in the first step.
+func (c *Core) follow() {
+	if c.feed.begun {
+		return
+	}
+	c.feed.begun = true
+	if !c.cfg.Module.DiscoveryAsks {
+		c.emit(Subscribe{})
+	}
+}
+
+// feedDown calls again after a while, with jitter so that schedulers whose feed broke at one moment don't come back at
+// one moment. What the feed would have told counts as told 2 s after a break: the longest wait is half of that.
+func (c *Core) feedDown() {
+	c.tell(flaxshelf.ListFailed{})
+	if c.cfg.Module.DiscoveryAsks {
+		return
+	}
+	wait := recallMost
+	if c.feed.fails < 4 {
+		wait = recallFirst << c.feed.fails
+	}
+	c.feed.fails++
+	wait = wait/2 + time.Duration(c.feed.rng.Int64N(int64(wait/2)))
+	c.after(c.now+wait, func() { c.emit(Subscribe{}) })
+}
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -1,15 +1,36 @@
 package asks
 
 import (
+	"cmp"
+	"slices"
+
 	"flaxshelf.example/flaxshelf"
+	"flaxshelf.example/flaxshelf/internal/connlimit"
 )
 
 // owner is a connection of owners.
 type owner struct {
 	conn   Conn
 	host   string
-	open   int // set-ups that wait for their answer on it
-	placed int // of its set-ups so far: it is surely a usual one
+	tasks  map[string]*task // that wait for their answer on it; nil before the first
+	placed int              // of its set-ups so far: it is surely a usual one
+}
+
+func (o *owner) add(t *task) {
+	if o.tasks == nil {
+		o.tasks = map[string]*task{}
+	}
+	o.tasks[t.id] = t
+}
+
+// sorted lists the tasks in a fixed order, since maps have none.
+func (o *owner) sorted() []*task {
+	all := make([]*task, 0, len(o.tasks))
+	for _, t := range o.tasks {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *task) int { return cmp.Compare(a.id, b.id) })
+	return all
 }
 
 // task is a set-up that waits for its answer, or what stands after it.
@@ -38,11 +59,17 @@
 		}
 		return
 	}
+	c.door.Used(c.now, connlimit.ID(in.Conn))
+	if c.figures.Open >= c.cfg.MaxOpen || !c.door.Open(connlimit.ID(in.Conn)) {
+		c.figures.TooMany++
+		c.emit(Over{in.Conn, in.Task.ID, CauseFull}) // nothing of it has run
+		return
+	}
 	t := &task{id: in.Task.ID, spec: in.Task, class: in.Class, idem: in.Idem, detail: in.Description, conn: in.Conn,
 		host: o.host, open: true}
 	c.tasks[t.id] = t
+	o.add(t)
 	c.figures.Open++
-	o.open++
 	c.tell(flaxshelf.Place{Task: t.spec})
 }
 
@@ -55,6 +82,7 @@
 	if o == nil {
 		return
 	}
+	c.door.Used(c.now, connlimit.ID(in.Conn))
 	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, host: o.host, attempts: 1}
 	n := c.node(in.Node)
 	t.live = &attempt{task: t, node: n, sent: c.now, phase: standing}
@@ -90,13 +118,46 @@
 	t.open = false
 	c.figures.Open--
 	if o := c.owners[t.conn]; o != nil {
-		o.open--
+		delete(o.tasks, t.id)
+	}
+	c.door.Shut(c.now, connlimit.ID(t.conn))
+}
+
+// opened takes an owner's connection in. Others may have to go for it.
+func (c *Core) opened(in Opened) {
+	c.owners[in.Conn] = &owner{conn: in.Conn, host: in.Host}
+	for _, id := range c.door.Came(c.now, connlimit.ID(in.Conn), in.Host) {
+		c.expel(Conn(id))
 	}
+	if c.silence == nil || !c.silence.Queued() {
+		c.silent()
+	}
+}
+
+// silent closes the connections that say nothing.
+func (c *Core) silent() {
+	gone, next := c.door.Silent(c.now)
+	for _, id := range gone {
+		c.expel(Conn(id))
+	}
+	if next > 0 {
+		c.silence = c.after(next, c.silent)
+	}
+}
+
+// expel closes an owner's connection. Set-ups that are open on it are given up: its close tells the owner so.
+func (c *Core) expel(conn Conn) {
+	c.figures.Expelled++
+	c.closed(conn)
+	c.emit(Expel{conn})
 }
 
 // released is an owner's release: before the answer the set-up is given up, after it the task ends.
-func (c *Core) released(id string) {
+func (c *Core) released(conn Conn, id string) {
 	t := c.tasks[id]
+	if t != nil {
+		c.door.Used(c.now, connlimit.ID(conn))
+	}
 	switch {
 	case t == nil:
 	case t.open:
@@ -130,13 +191,9 @@
 		return
 	}
 	delete(c.owners, conn)
-	if o.open == 0 {
-		return
-	}
-	for _, t := range c.sortedTasks() {
-		if t.open && t.conn == conn {
-			c.giveUp(t)
-		}
+	c.door.Gone(connlimit.ID(conn))
+	for _, t := range o.sorted() {
+		c.giveUp(t)
 	}
 }
 
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -74,6 +74,9 @@
 	// Closed tells that an owner's connection has ended. Set-ups open on it are given up.
 	Closed struct{ Conn Conn }
 
+	// Wrong tells that a message on an owner's connection made no sense.
+	Wrong struct{ Conn Conn }
+
 	// Up tells that a link stands.
 	Up struct{ Link Link }
 	// Down tells that a link has ended or could not be made.
@@ -131,6 +134,7 @@
 func (Tested) input()   {}
 func (Opened) input()   {}
 func (Closed) input()   {}
+func (Wrong) input()    {}
 func (Up) input()       {}
 func (Down) input()     {}
 func (Heard) input()    {}
@@ -161,6 +165,8 @@
 		Task   string
 		Passed bool
 	}
+	// Expel closes an owner's connection, after what was written on it.
+	Expel struct{ Conn Conn }
 	// Dial has a connection to a node made; Up or Down follows.
 	Dial struct {
 		Link       Link
@@ -187,6 +193,7 @@
 func (Answer) effect()    {}
 func (Over) effect()      {}
 func (Pong) effect()      {}
+func (Expel) effect()     {}
 func (Dial) effect()      {}
 func (Hang) effect()      {}
 func (Offer) effect()     {}
@@ -195,8 +202,8 @@
 
 // Figures are what a core has and has done.
 type Figures struct {
-	Open, Standing, Owners, Nodes, Links                        int
-	Placed, Refused, Failed, GivenUp, Offers, Retold, Ended     uint64
-	FullOffers, ErrorOffers, LateOffers, LostOffers, Unreached  uint64
-	CutByDeath, CutBySilence, CutByList, LinksBroken, StaleSays uint64
+	Open, Standing, Owners, Nodes, Links                                           int
+	Placed, Refused, Failed, GivenUp, Offers, Retold, Ended                        uint64
+	FullOffers, ErrorOffers, LateOffers, LostOffers, Unreached                     uint64
+	Expelled, TooMany, CutByDeath, CutBySilence, CutByList, LinksBroken, StaleSays uint64
 }
--- /dev/null
+++ b/internal/connlimit/limit.go
@@ -0,0 +1,184 @@
+// Package connlimit owns the decision which of the owners' connections are closed: when descriptors run short, when one
+// stays silent, and when one asks for more than its share. It is free of I/O and clocks, and must not know what owners
+// ask for.
+package connlimit
+
+import (
+	"container/list"
+	"time"
+)
+
+// Time is the host's clock.
+type Time = time.Duration
+
+// ID names a connection. It is never used again.
+type ID uint64
+
+// Limits bound the connections.
+type Limits struct {
+	Most   int           // connections kept; for one more, another is closed
+	Silent time.Duration // one that has said nothing of use for so long after its coming is closed
+	Spare  time.Duration // one that was of use within so long is not closed for others
+	Wrong  int           // messages of no use that one may send; at the next it is closed
+	Open   int           // set-ups that may be open on one
+}
+
+// entry is a connection. It is in one of two lists: those that have not shown themselves to be of use, in order of their
+// coming, and the others, in order of their last use.
+type entry struct {
+	id      ID
+	host    string
+	came    Time
+	used    Time
+	proven  bool
+	open    int
+	wrong   int
+	element *list.Element
+}
+
+// Door decides. It is not safe for concurrent use.
+type Door struct {
+	limits  Limits
+	all     map[ID]*entry
+	strange list.List      // in order of their coming
+	known   list.List      // the least lately used first
+	hosts   map[string]int // strangers of each host
+}
+
+// New makes a door.
+func New(l Limits) *Door {
+	return &Door{limits: l, all: map[ID]*entry{}, hosts: map[string]int{}}
+}
+
+// Len is how many connections are there.
+func (d *Door) Len() int { return len(d.all) }
+
+// Came books a new connection and returns those to close for it; it may be the new one itself, where all others are of
+// use. What is returned counts as gone.
+func (d *Door) Came(now Time, id ID, host string) []ID {
+	e := &entry{id: id, host: host, came: now, used: now}
+	d.all[id] = e
+	e.element = d.strange.PushBack(e)
+	d.hosts[host]++
+	var out []ID
+	for len(d.all) > d.limits.Most {
+		v := d.victim(now)
+		if v == nil {
+			v = e
+		}
+		d.Gone(v.id)
+		out = append(out, v.id)
+	}
+	return out
+}
+
+// victim is who goes when descriptors run short: the oldest stranger of the host that has most of them, else the one
+// with nothing open that was of use the longest ago. Risk covered: hundreds of connections that say nothing must not
+// push out the owners, nor a newcomer that is about to speak.
+func (d *Door) victim(now Time) *entry {
+	var best *entry
+	most := 1 // a host with one stranger is as good as any owner
+	for x := d.strange.Front(); x != nil; x = x.Next() {
+		if e := x.Value.(*entry); d.hosts[e.host] > most && e.open == 0 {
+			best, most = e, d.hosts[e.host]
+		}
+	}
+	if best != nil {
+		return best
+	}
+	for x := d.known.Front(); x != nil; x = x.Next() {
+		e := x.Value.(*entry)
+		if now-e.used < d.limits.Spare {
+			break
+		}
+		if e.open == 0 {
+			return e
+		}
+	}
+	if x := d.strange.Front(); x != nil {
+		if e := x.Value.(*entry); e.open == 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+// Used books that a connection was of use: it carried a set-up that makes sense, a test or the end of a task.
+func (d *Door) Used(now Time, id ID) {
+	e := d.all[id]
+	if e == nil {
+		return
+	}
+	e.used, e.wrong = now, 0
+	if e.proven {
+		d.known.MoveToBack(e.element)
+		return
+	}
+	e.proven = true
+	d.unstrange(e)
+	e.element = d.known.PushBack(e)
+}
+
+// unstrange takes e from the strangers.
+func (d *Door) unstrange(e *entry) {
+	d.strange.Remove(e.element)
+	if d.hosts[e.host]--; d.hosts[e.host] == 0 {
+		delete(d.hosts, e.host)
+	}
+}
+
+// Wrong books a message that was of no use; true: the connection is to be closed.
+func (d *Door) Wrong(id ID) bool {
+	e := d.all[id]
+	if e == nil {
+		return false
+	}
+	e.wrong++
+	return e.wrong > d.limits.Wrong
+}
+
+// Open books a set-up; false: it is one too many there.
+func (d *Door) Open(id ID) bool {
+	e := d.all[id]
+	if e == nil || e.open >= d.limits.Open {
+		return false
+	}
+	e.open++
+	return true
+}
+
+// Shut books that a set-up has its answer.
+func (d *Door) Shut(now Time, id ID) {
+	if e := d.all[id]; e != nil && e.open > 0 {
+		e.open--
+		d.Used(now, id)
+	}
+}
+
+// Gone books that a connection has ended.
+func (d *Door) Gone(id ID) {
+	e := d.all[id]
+	if e == nil {
+		return
+	}
+	delete(d.all, id)
+	if e.proven {
+		d.known.Remove(e.element)
+	} else {
+		d.unstrange(e)
+	}
+}
+
+// Silent returns the connections that have said nothing of use for too long, and when to ask next; 0: not before one
+// comes. What is returned counts as gone.
+func (d *Door) Silent(now Time) (out []ID, next Time) {
+	for x := d.strange.Front(); x != nil; x = d.strange.Front() {
+		e := x.Value.(*entry)
+		if due := e.came + d.limits.Silent; now < due {
+			return out, due
+		}
+		d.Gone(e.id)
+		out = append(out, e.id)
+	}
+	return out, 0
+}
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -102,6 +102,7 @@
 // own is the goroutine that owns the core.
 func (c *core) own() {
 	defer close(c.done)
+	floor()
 	defer keepFloor()
 	wake := time.NewTimer(0)
 	defer wake.Stop()
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -12,7 +12,10 @@
 	"flaxshelf.example/flaxshelf/internal/transport"
 )
 
-var errFull = errors.New("platform: too much waits for the core")
+var (
+	errFull     = errors.New("platform: too much waits for the core")
+	errExpelled = errors.New("platform: the connection had to go")
+)
 
 // ownerPeer makes the peer of an owner's new connection.
 func (s *Scheduler) ownerPeer(*transport.Conn) transport.Peer {
@@ -55,6 +58,7 @@
 			}
 			b, _ := platformfront.Over(nil, &asks.Over{Task: m.ID, Cause: asks.CauseError})
 			c.Write(b)
+			all = append(all, asks.Wrong{Conn: p.id})
 			continue
 		}
 		if input != nil {
@@ -72,7 +76,7 @@
 
 // Closed implements transport.Peer.
 func (p *ownerPeer) Closed(_ *transport.Conn, _ error) {
-	p.s.live.Add(-1)
+	<-p.s.slots
 	if in := (asks.Closed{Conn: p.id}); !p.s.offer(message{in: []asks.Input{in}}) {
 		go p.s.pass(in)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -18,6 +17,7 @@
 
 	"flaxshelf.example/flaxshelf/internal/asks"
 	"flaxshelf.example/flaxshelf/internal/clock"
+	"flaxshelf.example/flaxshelf/internal/connlimit"
 	"flaxshelf.example/flaxshelf/internal/front/platformfront"
 	"flaxshelf.example/flaxshelf/internal/replay"
 	"flaxshelf.example/flaxshelf/internal/transport"
@@ -30,6 +30,12 @@
 	maxIn   = 64 << 10
 	// silent is how long a node may be out of reach before what stands there counts as cut; owners are to hear within 8 s.
 	silent = 6 * time.Second
+	// mute is how long an owner's connection may say nothing of use: a bad client is owed a close within 3 s.
+	mute = 2300 * time.Millisecond
+	// spare is how long after its last use a connection is not closed for others: what crosses a close is sent once more
+	// within 50 ms only.
+	spare   = 200 * time.Millisecond
+	maxOpen = 2048 // set-ups that may wait for their answer
 	// taking is how long new connections and requests keep coming after SIGTERM, with some room.
 	taking = 900 * time.Millisecond
 )
@@ -56,8 +62,7 @@
 	ended  chan struct{}
 	cfg    atomic.Pointer[platformfront.Config]
 	conns  atomic.Uint64 // owners' connections so far
-	live   atomic.Int64  // owners' connections now
-	most   int64         // of them
+	slots  chan struct{} // one for each owner's connection
 	cpu    time.Duration
 
 	core   *asks.Core
@@ -84,10 +89,11 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core or a part of one
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
-	s := &Scheduler{opt: opt, box: make(chan message, mailbox), ended: make(chan struct{}), most: int64(cfg.Limits.Sockets / 2),
+	s := &Scheduler{opt: opt, box: make(chan message, mailbox), ended: make(chan struct{}), slots: make(chan struct{}, cfg.Limits.Sockets*3/4),
 		owners: map[asks.Conn]*peer{}, links: map[asks.Link]*peer{}, last: cfg.Last}
 	s.cfg.Store(cfg)
-	core := asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent}
+	core := asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, MaxOpen: maxOpen,
+		Door: connlimit.Limits{Most: cfg.Limits.Sockets * 5 / 8, Silent: mute, Spare: spare, Wrong: 3, Open: maxOpen / 8}}
 	if opt.Tap != "" {
 		if s.tap, err = replay.Create(opt.Tap, cfg.Module, cfg.Seed); err != nil {
 			return err
@@ -256,6 +262,7 @@
 			s.opt.Log.Error().Err(err).Msg("a message can't be sent")
 		}
 	}
+	var expelled []*transport.Conn
 	for _, e := range effects {
 		switch e := e.(type) {
 		case asks.Answer:
@@ -275,6 +282,11 @@
 				delete(s.links, e.Link)
 				p.conn.Close(transport.ErrStopping)
 			}
+		case asks.Expel:
+			if p := s.owners[e.Conn]; p != nil {
+				delete(s.owners, e.Conn)
+				expelled = append(expelled, p.conn)
+			}
 		case asks.Subscribe:
 			s.feed.ask(s.cfg.Load().Feed, s.last)
 		}
@@ -284,6 +296,9 @@
 		p.box.Flush(p.conn, func() bool { return clock.Now()-now < limit })
 	}
 	s.dirty = s.dirty[:0]
+	for _, c := range expelled { // after what was written on them
+		c.Close(errExpelled)
+	}
 }
 
 func (s *Scheduler) putOffer(e *asks.Offer) {
@@ -314,13 +329,12 @@
 	}()
 }
 
-// admit bounds owners' connections.
-func (s *Scheduler) admit(net.Addr) bool {
-	if s.live.Load() >= s.most {
-		return false
+// admit waits for a slot: what connects beyond them waits in the listener's queue, so that owners can't cost us a node.
+func (s *Scheduler) admit() {
+	select {
+	case s.slots <- struct{}{}:
+	case <-s.ended:
 	}
-	s.live.Add(1)
-	return true
 }
 
 // report logs the figures.
@@ -332,7 +346,7 @@
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
 	cpu := time.Duration(u.Utime.Nano() + u.Stime.Nano())
 	s.opt.Log.Info().Interface("figures", f).Int64("heap_kb", int64(m.HeapAlloc>>10)).Int64("sys_kb", int64(m.Sys>>10)).
-		Int64("rss_kb", u.Maxrss).Dur("cpu", cpu-s.cpu).Int64("owners", s.live.Load()).Uint64("event", s.last).Msg("figures")
+		Int64("rss_kb", u.Maxrss).Dur("cpu", cpu-s.cpu).Int("owners", len(s.slots)).Uint64("event", s.last).Msg("figures")
 	s.cpu = cpu
 }
 
--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -19,9 +19,9 @@
 // acceptPause is how long an acceptor waits after accepting has failed: descriptors come free by time.
 const acceptPause = 20 * time.Millisecond
 
-// Accept listens at addr. admit is asked before each connection is taken in, on the acceptor's goroutine; one that is not
-// admitted is closed at once. newPeer makes the peer of each that is.
-func (d *Dialer) Accept(addr string, admit func(remote net.Addr) bool, newPeer func(c *Conn) Peer) (*Acceptor, error) {
+// Accept listens at addr. admit is called before each connection is taken from the listener's queue, and may wait;
+// newPeer makes the peer of each, whose Closed is called once in any case.
+func (d *Dialer) Accept(addr string, admit func(), newPeer func(c *Conn) Peer) (*Acceptor, error) {
 	at, err := net.ResolveTCPAddr("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("transport: listen address %q: %w", addr, err)
@@ -35,7 +35,11 @@
 	go func() {
 		defer d.wg.Done()
 		defer close(a.done)
-		for {
+		for admitted := false; ; {
+			if !admitted {
+				admit()
+				admitted = true
+			}
 			nc, err := ln.AcceptTCP()
 			switch {
 			case errors.Is(err, net.ErrClosed) || d.ctx.Err() != nil:
@@ -47,10 +51,7 @@
 				time.Sleep(acceptPause)
 				continue
 			}
-			if !admit(nc.RemoteAddr()) {
-				_ = nc.Close()
-				continue
-			}
+			admitted = false
 			c := &Conn{opt: &d.opt}
 			c.peer = newPeer(c)
 			if _, err := d.client.EnrollContext(nc, c); err != nil {
