An end is told to one who showed to be an owner, never to a stranger of its address

A probe printed the connection each end was told on when its own had closed: the first twelve went to a connection on which tasks had been placed and were heard; from then on to one that had only just connected from the same address, and were lost. Bad clients connect from the addresses of owners (internal/asks/owner.go, other). Ruled out: that ends must come on their own connection.

Now the connection that showed itself the last, by a task placed or handed over on it, takes them; none: they wait.

--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -168,7 +168,7 @@
 	c.figures.Standing++
 	c.figures.Placed++
 	c.emit(Answer{t.conn, t.id, detail})
-	c.proven(t.conn)
+	c.showed(t.conn)
 	c.tell(flaxshelf.Placed{Task: t.id, Machine: a.node.entry.ID, Attempt: a.n, Lag: c.now - a.sent})
 }
 
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -38,6 +38,7 @@
 	nodes    map[string]*node
 	links    map[Link]*link
 	lastLink Link
+	shows    uint64
 	unsaid   []*Over // ends that no connection could be found for
 	timers   dueheap.Heap[func()]
 	feed     feed
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -10,10 +10,9 @@
 
 // owner is a connection of owners.
 type owner struct {
-	conn   Conn
-	host   string
-	tasks  map[string]*task // that wait for their answer on it; nil before the first
-	placed int              // of its set-ups so far: it is surely a usual one
+	conn  Conn
+	tasks map[string]*task // that wait for their answer on it; nil before the first
+	shown uint64           // when a task was last placed or handed over on it, counted; 0: never
 }
 
 func (o *owner) add(t *task) {
@@ -41,7 +40,6 @@
 	idem     string
 	detail   string
 	conn     Conn
-	host     string
 	open     bool // its owner is owed an answer
 	attempts int
 	live     *attempt
@@ -66,7 +64,7 @@
 		return
 	}
 	t := &task{id: in.Task.ID, spec: in.Task, class: in.Class, idem: in.Idem, detail: in.Description, conn: in.Conn,
-		host: o.host, open: true}
+		open: true}
 	c.tasks[t.id] = t
 	o.add(t)
 	c.figures.Open++
@@ -78,12 +76,11 @@
 	if c.tasks[in.Task.ID] != nil {
 		return
 	}
-	o := c.owners[in.Conn]
-	if o == nil {
+	if c.owners[in.Conn] == nil {
 		return
 	}
 	c.door.Used(c.now, connlimit.ID(in.Conn))
-	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, host: o.host, attempts: 1}
+	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, attempts: 1}
 	n := c.node(in.Node)
 	t.live = &attempt{task: t, node: n, sent: c.now, phase: standing}
 	c.tasks[t.id] = t
@@ -91,6 +88,7 @@
 	c.figures.Standing++
 	c.figures.Retold++
 	c.tell(flaxshelf.Running{Task: t.spec, Machine: in.Node})
+	c.showed(in.Conn)
 	c.keepLink(n)
 }
 
@@ -125,7 +123,7 @@
 
 // opened takes an owner's connection in. Others may have to go for it.
 func (c *Core) opened(in Opened) {
-	c.owners[in.Conn] = &owner{conn: in.Conn, host: in.Host}
+	c.owners[in.Conn] = &owner{conn: in.Conn}
 	for _, id := range c.door.Came(c.now, connlimit.ID(in.Conn), in.Host) {
 		c.expel(Conn(id))
 	}
@@ -197,16 +195,15 @@
 	}
 }
 
-// say tells an owner that its standing task is over: on the connection of its set-up, else on another one of its, else
-// on the next one that shows itself to be a usual owner's.
+// say tells an owner that its standing task is over: on the connection of its set-up, else on another one that is surely
+// an owner's, else on the next one that shows itself to be.
 func (c *Core) say(t *task, cause int) {
 	e := Over{Task: t.id, Cause: cause}
-	if o := c.owners[t.conn]; o != nil {
-		e.Conn = o.conn
-		c.emit(e)
-		return
+	o := c.owners[t.conn]
+	if o == nil {
+		o = c.other()
 	}
-	if o := c.other(t.host); o != nil {
+	if o != nil {
 		e.Conn = o.conn
 		c.emit(e)
 		return
@@ -219,35 +216,26 @@
 // maxUnsaid bounds the ends for which no connection is there.
 const maxUnsaid = 4096
 
-// other is the connection that most likely reaches the owner at host: one of the same host before others, and one on
-// which tasks were placed before one that has not shown itself. The lowest number decides, for the same verdict each time.
-func (c *Core) other(host string) *owner {
+// other is the owner's connection that showed itself the last: a task was placed or handed over on it. Risk covered:
+// bad clients connect from the addresses of owners, and an end that is told to one of them is lost.
+func (c *Core) other() *owner {
 	var best *owner
-	rank := func(o *owner) int {
-		r := 0
-		if o.host == host {
-			r += 2
-		}
-		if o.placed > 0 {
-			r++
-		}
-		return r
-	}
 	for _, o := range c.owners {
-		if rank(o) > 0 && (best == nil || rank(o) > rank(best) || rank(o) == rank(best) && o.conn > best.conn) {
+		if o.shown > 0 && (best == nil || o.shown > best.shown) {
 			best = o
 		}
 	}
 	return best
 }
 
-// proven is for a connection on which a task was placed: it takes along the ends that found none.
-func (c *Core) proven(conn Conn) {
+// showed is for a connection on which a task was placed or handed over: it takes along the ends that found none.
+func (c *Core) showed(conn Conn) {
 	o := c.owners[conn]
 	if o == nil {
 		return
 	}
-	o.placed++
+	c.shows++
+	o.shown = c.shows
 	for _, e := range c.unsaid {
 		e.Conn = conn
 		c.emit(*e)
