--- a/internal/lab/former/placer.go
+++ b/internal/lab/former/placer.go
@@ -199,6 +199,7 @@
 	p.lag += (lag - p.lag) / 8
 	t.settled = true
 	p.seat(t, a)
+	p.blame(t)
 	a.m.fulls = max(a.m.fulls-1, 0)
 	if a.m.window++; a.m.window == 1 || a.m.window >= maxWindow {
 		a.m.window = 0 // it was not counted, or need not be any more
@@ -323,11 +324,27 @@
 	p.strike(&m.health)
 }
 
+// blame strikes the machines that answered t with an error, as the module's does.
+func (p *Placer) blame(t *task) {
+	for _, m := range t.errors {
+		if t.placed || len(t.errors) < several {
+			p.failed(t, m)
+		}
+	}
+	t.errors = nil
+}
+
 // judge reads an outcome as evidence about its machine.
 func (p *Placer) judge(t *task, a *attempt, e flaxshelf.Ended) {
 	m := a.m
 	switch e.Verdict {
-	case flaxshelf.Failed, flaxshelf.TimedOut:
+	case flaxshelf.Failed: // later than the text: see blame in the module
+		if at := m.record(t.Class).servedAt; at > 0 && p.now-at < forget && t.class.Effect != flaxshelf.Unsafe {
+			t.errors = append(t.errors, m)
+			return
+		}
+		p.failed(t, m)
+	case flaxshelf.TimedOut:
 		p.failed(t, m)
 	case flaxshelf.Unreachable:
 		p.strike(&m.health)
@@ -874,6 +891,7 @@
 // answer ends t: a refusal promises that a retry is safe, so it needs proof or a class that bears repeats.
 func (p *Placer) answer(t *task) {
 	t.settled = true
+	p.blame(t)
 	for i := range t.attempts {
 		if t.attempts[i].live && p.cfg.CanWithdraw {
 			p.do(flaxshelf.Withdraw{Task: t.ID, Attempt: i})
--- a/internal/lab/former/state.go
+++ b/internal/lab/former/state.go
@@ -86,6 +86,7 @@
 	attempts []attempt
 	settled  bool // it has its final answer, or needs none
 	placed   bool
+	errors   []*machine // that answered it with an error and are not blamed yet
 }
 
 // bind is one replayed offer: what was asked of which machine when, and the life drawn for it.
--- a/placer.go
+++ b/placer.go
@@ -215,6 +215,7 @@
 	p.lag += (lag - p.lag) / 8
 	t.settled = true
 	p.seat(t, a)
+	p.blame(t)
 	a.m.fulls = max(a.m.fulls-1, 0)
 	if a.m.window++; a.m.window == 1 || a.m.window >= maxWindow {
 		a.m.window = 0 // it was not counted, or need not be any more
@@ -348,11 +349,31 @@
 	p.strike(&m.health)
 }
 
+// blame strikes the machines that answered t with an error, now that it is placed or given up. Where several did and
+// none placed it, the task is at fault: bad clients' tasks would bar every machine in turn. It could hurt where most
+// machines begin to fail at once: they are struck once they have served none of the class for a while.
+func (p *Placer) blame(t *task) {
+	for _, m := range t.errors {
+		if t.placed || len(t.errors) < several {
+			p.failed(t, m)
+			p.touch(m)
+		}
+	}
+	t.errors = nil
+}
+
 // judge reads an outcome as evidence about its machine.
 func (p *Placer) judge(t *task, a *attempt, e Ended) {
 	m := a.m
 	switch e.Verdict {
-	case Failed, TimedOut:
+	case Failed:
+		// Where the class was served lately the task itself may be at fault: another machine tells, see blame.
+		if at := m.record(t.Class).servedAt; at > 0 && p.now-at < forget && t.class.Effect != Unsafe {
+			t.errors = append(t.errors, m)
+			return
+		}
+		p.failed(t, m)
+	case TimedOut:
 		p.failed(t, m)
 	case Unreachable:
 		p.strike(&m.health)
@@ -1034,6 +1055,7 @@
 // answer ends t: a refusal promises that a retry is safe, so it needs proof or a class that bears repeats.
 func (p *Placer) answer(t *task) {
 	t.settled = true
+	p.blame(t)
 	for i := range t.attempts {
 		if t.attempts[i].live && p.cfg.CanWithdraw {
 			p.do(Withdraw{Task: t.ID, Attempt: i})
--- a/placer_test.go
+++ b/placer_test.go
@@ -617,6 +617,56 @@
 	}
 }
 
+// An error is blamed on its machine once another has placed the task, or when the task ends with it alone; a task that
+// several machines answer with an error and none places, as bad clients send, bars none of them. Where the class was
+// not served lately, or there is no second attempt to tell, the machine is struck at once.
+func TestErrorsOfABadTaskBarNoMachine(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect Effect
+		served bool
+		errors int
+		placed bool
+		barred int
+	}{
+		{"errors everywhere", Safe, true, 3, false, 0},
+		{"placed by the second", Safe, true, 1, true, 1},
+		{"placed by the third", Safe, true, 2, true, 2},
+		{"nothing served there", Safe, false, 3, false, 3},
+		{"no second attempt", Unsafe, true, 1, false, 1},
+	} {
+		cfg := config()
+		cfg.Classes[0].Effect = c.effect
+		p := start(t, cfg, fleet(6))
+		if c.served {
+			for _, m := range p.order {
+				p.served(m.record(0))
+			}
+		}
+		change(p)
+		as := p.Step(time.Second+ms, []Event{ask("t", 0, 9*time.Second)})
+		for n := range c.errors {
+			o := one(t, as)
+			as = p.Step(time.Second+Time(n+2)*ms, []Event{Ended{Task: "t", Machine: o.Machine, Attempt: n, Verdict: Failed}})
+		}
+		if c.placed {
+			o := one(t, as)
+			p.Step(time.Second+9*ms, []Event{Placed{Task: "t", Machine: o.Machine, Attempt: c.errors}})
+		} else if len(offers(as)) > 0 {
+			t.Errorf("%s: offered once more: %v", c.name, as)
+		}
+		barred := 0
+		for _, m := range p.order {
+			if p.now < m.record(0).bar {
+				barred++
+			}
+		}
+		if barred != c.barred {
+			t.Errorf("%s: %d machines barred, want %d", c.name, barred, c.barred)
+		}
+	}
+}
+
 // With few binds beside the machines a bar lasts until we would come by again.
 func TestBarLastsAVisit(t *testing.T) {
 	p := start(t, config(), fleet(10))
--- a/state.go
+++ b/state.go
@@ -100,7 +100,8 @@
 	attempts []attempt
 	settled  bool // it has its final answer, or needs none
 	placed   bool
-	rank     int // among the open tasks of this step
+	rank     int        // among the open tasks of this step
+	errors   []*machine // that answered it with an error and are not blamed yet
 }
 
 // ranks bounds the ranks of open tasks.
