--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -56,3 +56,304 @@
 		t.Errorf("%+v", f)
 	}
 }
+
+// A node's refusal before the answer goes to the module as what it proves; the owner hears once, at once.
+func TestOutcomes(t *testing.T) {
+	for cause, want := range map[int]flaxshelf.Verdict{CauseFull: flaxshelf.Refused, CauseError: flaxshelf.Failed,
+		CauseMoot: flaxshelf.NotSent, CauseReset: flaxshelf.Lost, 99: flaxshelf.Lost} {
+		w := newWorld(t)
+		w.step(Opened{Conn: 1, Host: "h"})
+		w.nodes("a", "b")
+		w.step(w.ask(1, 7, 0))
+		o := one[Offer](w)
+		w.step(Heard{Link: o.Link, Say: SaysRelease, Task: id(7), Cause: cause, Reason: flaxshelf.NoCores})
+		e := told[flaxshelf.Ended](w)
+		if len(e) != 1 || e[0].Verdict != want || e[0].Machine != o.Node || e[0].Reason != flaxshelf.NoCores || e[0].Done {
+			t.Errorf("cause %d: %+v", cause, e)
+		}
+		none[Over](w)
+		if next := one[Offer](w); next.Node == o.Node {
+			t.Errorf("cause %d: the next offer goes to the same node", cause)
+		}
+	}
+}
+
+// Once the module has given up, the owner hears in the same step; where something may have run and a repeat could do
+// harm it hears a failure, else a refusal.
+func TestFinalAnswerAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		class, cause, want int
+	}{{0, CauseError, CauseFull}, {1, CauseFull, CauseFull}, {1, CauseError, CauseReset}} {
+		w := newWorld(t)
+		w.step(Opened{Conn: 1, Host: "h"})
+		w.nodes("a", "b", "c", "d")
+		w.step(w.ask(1, 7, c.class))
+		for range 3 {
+			o := one[Offer](w)
+			none[Over](w)
+			w.step(Heard{Link: o.Link, Say: SaysRelease, Task: id(7), Cause: c.cause})
+		}
+		none[Offer](w)
+		if e := one[Over](w); e != (Over{1, id(7), c.want}) {
+			t.Errorf("class %d, cause %d: %+v", c.class, c.cause, e)
+		}
+		if f := w.c.Figures(); f.Open != 0 || len(w.c.tasks) != 0 {
+			t.Errorf("%+v", f)
+		}
+	}
+}
+
+// A set-up that its owner gives up is released at the node, no answer is owed any more, and an answer that crosses is
+// released too.
+func TestGiveUp(t *testing.T) {
+	for _, by := range []Input{Release{1, id(7)}, Closed{1}} {
+		w := newWorld(t)
+		w.step(Opened{Conn: 1, Host: "h"})
+		w.nodes("n")
+		w.step(w.ask(1, 7, 0))
+		o := one[Offer](w)
+		w.step(by)
+		if cut := one[Cut](w); cut.Link != o.Link || cut.Task != id(7) {
+			t.Errorf("%+v", cut)
+		}
+		none[Over](w)
+		w.step(Heard{Link: o.Link, Say: SaysAnswer, Task: id(7), Description: "late"})
+		none[Answer](w)
+		one[Cut](w)
+		if f := w.c.Figures(); f.Open != 0 || f.Standing != 0 || len(w.c.tasks) != 0 {
+			t.Errorf("%+v", f)
+		}
+	}
+}
+
+// An owner's release of a standing task, on any connection, cuts it at its node; nobody is owed a release.
+func TestOwnerEnds(t *testing.T) {
+	for _, by := range []Input{Release{2, id(7)}, Moved{2, id(7)}} {
+		w := newWorld(t)
+		w.step(Opened{Conn: 1, Host: "h"}, Opened{Conn: 2, Host: "h"})
+		w.nodes("n")
+		o := w.place(1, 7, 0)
+		w.step(by)
+		if cut := one[Cut](w); cut != (Cut{o.Link, id(7), CauseCancelled}) {
+			t.Errorf("%+v", cut)
+		}
+		w.step(Heard{Link: o.Link, Say: SaysRelease, Task: id(7), Cause: CauseCancelled})
+		none[Over](w)
+		if e := told[flaxshelf.Ended](w); len(e) != 1 || e[0].Verdict != flaxshelf.Withdrawn || !e[0].Done {
+			t.Errorf("%+v", e)
+		}
+	}
+}
+
+// The same id while it is open: the first keeps its one answer, another connection is told a failure.
+func TestSameIDTwice(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"}, Opened{Conn: 2, Host: "h"})
+	w.nodes("n")
+	w.step(w.ask(1, 7, 0), w.ask(1, 7, 0), w.ask(2, 7, 0))
+	o := one[Offer](w)
+	if e := one[Over](w); e != (Over{2, id(7), CauseReset}) {
+		t.Errorf("%+v", e)
+	}
+	w.step(Heard{Link: o.Link, Say: SaysAnswer, Task: id(7), Description: "d"})
+	if a := one[Answer](w); a.Conn != 1 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// What stands is handed over, once; its end reaches the owner like any other's.
+func TestHeld(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n")
+	h := Held{Conn: 1, Node: "n", Task: w.ask(1, 7, 0).Task}
+	w.step(h)
+	none[Answer](w)
+	w.step(h)
+	if r := told[flaxshelf.Running](w); len(r) != 1 || r[0].Machine != "n" {
+		t.Errorf("%+v", r)
+	}
+	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(7), Cause: CauseReset, Reason: flaxshelf.Evicted})
+	if e := one[Over](w); e != (Over{1, id(7), CauseReset}) {
+		t.Errorf("%+v", e)
+	}
+}
+
+// Tests are passed until the scheduler is asked to leave, and what comes then is served all the same.
+func TestStop(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"}, Tested{1, id(1)})
+	if p := one[Pong](w); !p.Passed {
+		t.Error("not passed")
+	}
+	w.nodes("n")
+	w.step(Stop{}, Tested{1, id(1)})
+	if p := one[Pong](w); p.Passed {
+		t.Error("passed while leaving")
+	}
+	w.place(1, 7, 0)
+}
+
+// A link that breaks proves nothing of the set-ups on it; what stands outlives it and is told on the next one.
+func TestLinkBreaks(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n")
+	first := w.place(1, 7, 0)
+	w.step(w.ask(1, 8, 1))
+	w.step(Down{Link: first.Link})
+	if e := told[flaxshelf.Ended](w); len(e) != 1 || e[0].Task != id(8) || e[0].Verdict != flaxshelf.Lost {
+		t.Errorf("%+v", e)
+	}
+	d := one[Dial](w)
+	w.step(Up{d.Link})
+	w.step(Heard{Link: d.Link, Say: SaysRelease, Task: id(7), Cause: CauseGivenUp})
+	if e := one[Over](w); e.Task != id(7) {
+		t.Errorf("%+v", e)
+	}
+}
+
+// A refused connection proves that nothing ran and that what stood there is cut; one that never comes up proves that
+// nothing was sent, and only after a while that the machine is gone.
+func TestDialFails(t *testing.T) {
+	for _, refused := range []bool{true, false} {
+		w := newWorld(t)
+		w.step(Opened{Conn: 1, Host: "h"})
+		w.nodes("n")
+		o := w.place(1, 7, 0)
+		w.step(Down{Link: o.Link})
+		d := one[Dial](w)
+		w.step(w.ask(1, 8, 0))
+		none[Offer](w)
+		w.step(Down{Link: d.Link, Refused: refused})
+		e := told[flaxshelf.Ended](w)
+		if len(e) == 0 || e[0].Verdict == flaxshelf.Lost && e[0].Task == id(8) {
+			t.Fatalf("%+v", e)
+		}
+		if refused {
+			if e := one[Over](w); e.Task != id(7) || e.Cause != CauseReset {
+				t.Errorf("%+v", e)
+			}
+			continue
+		}
+		none[Over](w)
+		cut := 0
+		for range 100 {
+			w.pass(100 * time.Millisecond)
+			for _, e := range find[Over](w) {
+				if e.Task == id(7) {
+					cut++
+				}
+			}
+			for _, d := range find[Dial](w) {
+				w.step(Down{Link: d.Link})
+			}
+		}
+		if cut != 1 || w.c.Figures().CutBySilence != 1 {
+			t.Errorf("the owner of what stood on a silent machine heard %d times", cut)
+		}
+	}
+}
+
+// A node is known by its id: another one at its address cuts what stood on it, and its words end nothing of it.
+func TestAddressUsedAgain(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("old@x")
+	w.place(1, 7, 0)
+	w.list(flaxshelf.In, "new@x")
+	if e := one[Over](w); e.Task != id(7) {
+		t.Errorf("%+v", e)
+	}
+	d := one[Dial](w)
+	if d.Node != "new" {
+		t.Errorf("%+v", d)
+	}
+	one[Hang](w)
+	w.step(Up{d.Link})
+	w.step(w.ask(1, 8, 0))
+	if o := one[Offer](w); o.Node != "new" || o.Link != d.Link {
+		t.Errorf("%+v", o)
+	}
+}
+
+// Word of a drain acts before offers that wait for a link are written.
+func TestDrainBeforeWrite(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.list(flaxshelf.In, "n")
+	d := one[Dial](w)
+	w.step(w.ask(1, 7, 0))
+	none[Offer](w)
+	w.list(flaxshelf.Draining, "n")
+	w.step(Up{d.Link})
+	none[Offer](w)
+	if e := told[flaxshelf.Ended](w); len(e) == 0 || e[0].Verdict != flaxshelf.NotSent {
+		t.Errorf("%+v", e)
+	}
+}
+
+// A node that started anew has cut what stood before, whether or not its connection told.
+func TestRestart(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n")
+	w.place(1, 7, 0)
+	w.now += time.Second
+	w.step(Listed{Machines: []flaxshelf.Machine{machine("n", flaxshelf.In, w.now)}, Addrs: []string{"n"}})
+	if e := one[Over](w); e.Task != id(7) || e.Cause != CauseReset {
+		t.Errorf("%+v", e)
+	}
+}
+
+// A link that tells nothing after a set-up is replaced by a new one; the old is let go after a while.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n")
+	w.now += time.Second
+	w.step(w.ask(1, 7, 0))
+	o := one[Offer](w)
+	w.pass(o.Left + time.Millisecond)
+	d := find[Dial](w)
+	if len(find[Cut](w)) == 0 || len(d) == 0 {
+		t.Fatalf("%+v", w.out)
+	}
+	w.step(Up{d[len(d)-1].Link})
+	w.pass(lingers)
+	if h := find[Hang](w); len(h) != 1 || h[0].Link != o.Link {
+		t.Errorf("%+v", h)
+	}
+}
+
+// Nothing is kept of what has gone: many times the churn, and the core and its module are as large as at first.
+func TestChurnLeavesNothing(t *testing.T) {
+	w := newWorld(t)
+	conn, n := Conn(0), 0
+	for round := range 300 {
+		name := "n" + id(round)
+		w.list(flaxshelf.In, name+"@x")
+		for _, d := range find[Dial](w) {
+			w.step(Up{d.Link})
+		}
+		for range 5 {
+			conn++
+			n++
+			w.step(Opened{Conn: conn, Host: "h"})
+			w.step(w.ask(conn, n, 0))
+			for _, o := range find[Offer](w) {
+				w.step(Heard{Link: o.Link, Say: SaysAnswer, Task: o.Task, Description: "d"})
+			}
+		}
+		w.now += 10 * time.Second
+		w.list(flaxshelf.Out, name+"@x")
+	}
+	w.pass(5 * time.Minute)
+	f := w.c.Figures()
+	if f.Open != 0 || f.Standing != 0 || f.Nodes > 1 || f.Links > 1 || len(w.c.tasks) != 0 || f.Owners > 10 || f.Placed < 1000 {
+		t.Errorf("%+v, %d tasks", f, len(w.c.tasks))
+	}
+	if w.c.timers.Len() > 10 {
+		t.Errorf("%d timers", w.c.timers.Len())
+	}
+}
--- a/internal/asks/feed.go
+++ b/internal/asks/feed.go
@@ -20,12 +20,13 @@
 	recallMost  = time.Second
 )
 
-// follow calls the feed in the first step.
+// follow calls the feed in the first step, and begins to look after the nodes.
 func (c *Core) follow() {
 	if c.feed.begun {
 		return
 	}
 	c.feed.begun = true
+	c.sweep()
 	if !c.cfg.Module.DiscoveryAsks {
 		c.emit(Subscribe{})
 	}
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -156,9 +156,6 @@
 			case a.phase >= standing && in.Refused:
 				c.figures.CutByDeath++
 				c.lose(a)
-			case a.phase >= standing && c.now-n.heardAt >= c.cfg.Silent:
-				c.figures.CutBySilence++
-				c.lose(a)
 			}
 		}
 		wait := redialMost
@@ -171,6 +168,38 @@
 	c.keepLink(n)
 }
 
+const (
+	// sweepEvery is how often nodes with tasks of ours are looked at for silence.
+	sweepEvery = 500 * time.Millisecond
+	// quiet is how long such a node may say nothing before a newer link has to show that it is there.
+	quiet = 2500 * time.Millisecond
+)
+
+// sweep finds the machines that vanished or were cut off without a sign: open links stay open and silent, and new ones
+// never come up. What stands there counts as cut after Config.Silent; so does what was handed over on a node that no list
+// names.
+func (c *Core) sweep() {
+	c.after(c.now+sweepEvery, c.sweep)
+	for _, n := range c.sortedNodes() {
+		silent := c.now - n.heardAt
+		switch {
+		case len(n.live) == 0:
+		case n.cur != nil && n.cur.up && !n.cur.doubted:
+			if silent >= quiet {
+				c.figures.Doubted++
+				c.doubt(n.cur)
+			}
+		case silent >= c.cfg.Silent:
+			for _, a := range n.sorted() {
+				if a.phase >= standing {
+					c.figures.CutBySilence++
+					c.lose(a)
+				}
+			}
+		}
+	}
+}
+
 // letGo ends the links of a node that is out and has nothing of ours, and forgets it.
 func (c *Core) letGo(n *node) {
 	if n.wanted() || len(n.live) > 0 {
--- /dev/null
+++ b/internal/connlimit/limit_test.go
@@ -0,0 +1,126 @@
+package connlimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func door() *Door {
+	return New(Limits{Most: 4, Silent: 2 * time.Second, Spare: 200 * ms, Wrong: 2, Open: 2})
+}
+
+// Hundreds of connections that say nothing push out each other, not those that were of use.
+func TestSilentOnesGoFirst(t *testing.T) {
+	d := door()
+	d.Came(0, 1, "owner")
+	d.Used(ms, 1)
+	d.Came(2*ms, 2, "newcomer")
+	for i := range 300 {
+		for _, id := range d.Came(3*ms, ID(10+i), "flood") {
+			if id < 10 {
+				t.Fatalf("%d had to go for a flood", id)
+			}
+		}
+	}
+	if d.Len() != 4 {
+		t.Errorf("%d are left", d.Len())
+	}
+}
+
+// Where all are of use the one that was so the longest ago goes, never one with something open or used just now.
+func TestLeastLatelyUsed(t *testing.T) {
+	d := door()
+	for i := range ID(4) {
+		d.Came(Time(i)*ms, i+1, "h")
+		d.Used(Time(i)*ms, i+1)
+	}
+	if !d.Open(1) {
+		t.Fatal("a set-up too many")
+	}
+	if got := d.Came(time.Second, 5, "h"); !slices.Equal(got, []ID{2}) {
+		t.Errorf("closed %v, want 2", got)
+	}
+	d.Used(time.Second, 5)
+	d.Shut(time.Second, 1)
+	d.Used(time.Second, 3)
+	d.Used(time.Second, 4)
+	if got := d.Came(time.Second+ms, 6, "h"); !slices.Equal(got, []ID{6}) {
+		t.Errorf("closed %v, want the newcomer: all others were used just now", got)
+	}
+}
+
+func TestSilence(t *testing.T) {
+	d := door()
+	d.Came(0, 1, "h")
+	d.Came(100*ms, 2, "h")
+	d.Used(200*ms, 1)
+	if out, next := d.Silent(2 * time.Second); len(out) > 0 || next != 2100*ms {
+		t.Errorf("%v, %v", out, next)
+	}
+	if out, next := d.Silent(2100 * ms); !slices.Equal(out, []ID{2}) || next != 0 {
+		t.Errorf("%v, %v", out, next)
+	}
+}
+
+func TestBoundsOfOne(t *testing.T) {
+	d := door()
+	d.Came(0, 1, "h")
+	if d.Wrong(1) || d.Wrong(1) || !d.Wrong(1) {
+		t.Error("the third message of no use is one too many")
+	}
+	if !d.Open(1) || !d.Open(1) || d.Open(1) {
+		t.Error("the third open set-up is one too many")
+	}
+	if d.Shut(0, 1); !d.Open(1) {
+		t.Error("a set-up that has its answer counts on")
+	}
+	if d.Wrong(9) || d.Open(9) {
+		t.Error("of a connection that is not there")
+	}
+}
+
+// Whatever happens, the bound is kept, nothing with a set-up open goes for others, and nothing is remembered of what has
+// gone.
+func TestAnyOrder(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	d, now, last := door(), Time(0), ID(0)
+	open := map[ID]int{}
+	for range 20000 {
+		now += Time(rng.IntN(int(50 * ms)))
+		id := ID(rng.IntN(int(last) + 1))
+		switch rng.IntN(6) {
+		case 0:
+			last++
+			for _, gone := range d.Came(now, last, fmt.Sprint(rng.IntN(3))) {
+				if open[gone] > 0 {
+					t.Fatalf("%d went with %d open", gone, open[gone])
+				}
+			}
+		case 1:
+			d.Used(now, id)
+		case 2:
+			d.Used(now, id)
+			if d.Open(id) {
+				open[id]++
+			}
+		case 3:
+			if open[id] > 0 {
+				open[id]--
+				d.Shut(now, id)
+			}
+		case 4:
+			d.Gone(id)
+			delete(open, id)
+		case 5:
+			d.Silent(now)
+		}
+		if d.Len() > 4 || d.strange.Len()+d.known.Len() != d.Len() || len(d.hosts) > 3 {
+			t.Fatalf("%d connections, %d and %d in lists, %d hosts", d.Len(), d.strange.Len(), d.known.Len(), len(d.hosts))
+		}
+	}
+}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"flaxshelf.example/flaxshelf/internal/asks"
@@ -68,11 +69,11 @@
 var errQuiet = errors.New("platform: the control feed says nothing")
 
 func (f *feed) call(ctx context.Context, cancel func(), addr string, last uint64) error {
-	silent := false
-	watch := time.AfterFunc(connectFeed, func() { silent = true; cancel() })
+	var silent atomic.Bool
+	watch := time.AfterFunc(connectFeed, func() { silent.Store(true); cancel() })
 	defer watch.Stop()
 	fault := func(err error) error {
-		if silent {
+		if silent.Load() {
 			return errQuiet
 		}
 		return err
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"time"
 
 	"flaxshelf.example/flaxshelf/internal/asks"
 	"flaxshelf.example/flaxshelf/internal/clock"
@@ -86,8 +87,13 @@
 type nodePeer struct {
 	s    *Scheduler
 	link asks.Link
+	half bool // a message has begun and is not whole
 }
 
+// halfWithin is how long the rest of a node's message may take. Risk covered: an answer that stops short, or whose length
+// does not fit, would swallow all that follows on the connection.
+const halfWithin = 300 * time.Millisecond
+
 // Opened implements transport's hook.
 func (p *nodePeer) Opened(c *transport.Conn) {
 	if !p.s.offer(message{in: []asks.Input{asks.Up{Link: p.link}}, conn: c}) {
@@ -117,6 +123,14 @@
 	if len(all) > 0 && !p.s.offer(message{in: all}) {
 		return used, errFull
 	}
+	if half := used < len(in); half != p.half || half && used > 0 {
+		p.half = half
+		if half {
+			c.Hurry(halfWithin)
+		} else {
+			c.Hurry(0)
+		}
+	}
 	return used, err
 }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -20,6 +20,7 @@
 	ErrIdle       = errors.New("transport: nothing was heard for too long")
 	ErrStopping   = errors.New("transport: stopping")
 	ErrPeerClosed = errors.New("transport: closed by the peer")
+	ErrHalf       = errors.New("transport: half a message came, and no more")
 )
 
 // Options bound a connection. Zero values mean the defaults given.
@@ -62,6 +63,7 @@
 	queued atomic.Int64 // handed over, not yet written
 	heard  atomic.Int64 // Unix nanoseconds of the last bytes
 	idle   *time.Timer
+	half   *time.Timer
 	closed bool // of the loop
 	gone   atomic.Bool
 	why    error // of the loop
@@ -124,6 +126,17 @@
 // Finish closes from within the loop, after what was written.
 func (c *Conn) Finish(why error) { c.closeNow(why) }
 
+// Hurry closes the connection unless it is called again within d; 0 lifts it. Within the loop only.
+func (c *Conn) Hurry(d time.Duration) {
+	if c.half != nil {
+		c.half.Stop()
+		c.half = nil
+	}
+	if d > 0 && !c.closed {
+		c.half = time.AfterFunc(d, func() { c.Close(ErrHalf) })
+	}
+}
+
 // Keep lifts the idle time-out, for a connection on which only this side speaks.
 func (c *Conn) Keep() { c.heard.Store(1<<63 - 1) }
 
@@ -236,6 +249,7 @@
 	if c.idle != nil {
 		c.idle.Stop()
 	}
+	c.Hurry(0)
 	why := c.why
 	switch {
 	case why != nil:
