--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -255,6 +255,33 @@
 	}
 }
 
+// A node that drains listens no more and keeps what stands, on the link that it has: a newer link that is refused beside
+// one that is up proves no death. The old link goes on, and its break with a refusal after it is a death.
+func TestRefusedBesideALinkThatIsUp(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n")
+	o := w.place(1, 7, 0)
+	w.list(flaxshelf.Draining, "n")
+	for range 5 {
+		w.pass(quiet + sweepEvery)
+		d := find[Dial](w)
+		if len(d) == 0 {
+			t.Fatalf("no newer link: %+v", w.out)
+		}
+		none[Over](w)
+		w.step(Down{Link: d[0].Link, Refused: true})
+		none[Over](w)
+		none[Hang](w)
+	}
+	w.step(Heard{Link: o.Link, Say: SaysNote, Task: id(7), Kind: flaxshelf.Served, Amount: 1})
+	w.step(Down{Link: o.Link})
+	w.step(Down{Link: one[Dial](w).Link, Refused: true})
+	if e := one[Over](w); e.Task != id(7) {
+		t.Errorf("%+v", e)
+	}
+}
+
 // A node is known by its id: another one at its address cuts what stood on it, and its words end nothing of it.
 func TestAddressUsedAgain(t *testing.T) {
 	w := newWorld(t)
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -102,7 +102,7 @@
 	}
 	l.doubted = true
 	c.after(c.now+lingers, func() {
-		if c.links[l.id] != nil && l.node.cur != l {
+		if cur := l.node.cur; c.links[l.id] != nil && cur != l && cur != nil && cur.up {
 			c.hang(l)
 		}
 	})
@@ -147,6 +147,10 @@
 	if !current {
 		return
 	}
+	if old := c.standingLink(n); old != nil && !was {
+		c.keepOld(n, old, in.Refused)
+		return
+	}
 	if !was {
 		n.fails++
 		for _, a := range n.sorted() {
@@ -200,6 +204,33 @@
 	}
 }
 
+// standingLink is the newest link of a node that is up; nil where none is.
+func (c *Core) standingLink(n *node) (best *link) {
+	for _, l := range c.links {
+		if l.node == n && l.up && (best == nil || l.id > best.id) {
+			best = l
+		}
+	}
+	return best
+}
+
+// keepOld is for a link that was to replace one that is still up, and could not be made. Refused, it shows a live machine
+// whose process listens no more: a node that drains keeps what stands, on the links that it has. Risk covered: such a
+// refusal taken for a death, and all that stands there released to its owners while it runs.
+func (c *Core) keepOld(n *node, old *link, refused bool) {
+	n.cur = old
+	if refused {
+		n.heardAt, old.doubted = c.now, false
+	} else {
+		n.redial = c.after(c.now+redialMost, func() { c.keepLink(n) }) // old is doubted on
+	}
+	for _, a := range n.sorted() {
+		if a.phase == connecting {
+			c.end(a, flaxshelf.Unreachable, flaxshelf.Untold)
+		}
+	}
+}
+
 // letGo ends the links of a node that is out and has nothing of ours, and forgets it.
 func (c *Core) letGo(n *node) {
 	if n.wanted() || len(n.live) > 0 {
