--- a/bars.go
+++ b/bars.go
@@ -19,7 +19,7 @@
 	RushedBar                  // enough offers are out since a refusal
 	RoomBar                    // no room by the list
 	NeededBar                  // more machines than are needed
-	StrainedBar                // tasks are served badly
+	StrainedBar                // tasks are served badly: load in the vote, no bar
 	ContradictedBar            // the report is far over the others'
 	HomesBar                   // not the service's homes
 	GoneBinds                  // binds of a machine that is gone leave the history
--- a/index.go
+++ b/index.go
@@ -23,11 +23,11 @@
 	due   dueheap.Heap[*machine]
 	shape int // grows when a machine comes, goes or changes its kind: rankings of homes are void then
 
-	cold, failing, strained, refusing, rushed, reporting *bitset.BitSet
-	kinds, classes                                       []*bitset.BitSet // in service by kind; failing by class
-	zones                                                map[string]*place
-	cells                                                map[int]*place
-	left, spare                                          *bitset.BitSet // in use by the choice in hand
+	cold, failing, refusing, rushed, reporting *bitset.BitSet
+	kinds, classes                             []*bitset.BitSet // in service by kind; failing by class
+	zones                                      map[string]*place
+	cells                                      map[int]*place
+	left, spare                                *bitset.BitSet // in use by the choice in hand
 
 	weights []float64 // of each kind, the smaller of its shares of the largest cores and memory
 	hashes  []uint64
@@ -106,7 +106,7 @@
 // size makes all sets and columns anew for n machines.
 func (x *index) size(n int) {
 	set := func() *bitset.BitSet { return bitset.MustNew(uint(n)) }
-	for _, s := range []**bitset.BitSet{&x.cold, &x.failing, &x.strained, &x.refusing, &x.rushed,
+	for _, s := range []**bitset.BitSet{&x.cold, &x.failing, &x.refusing, &x.rushed,
 		&x.reporting, &x.left, &x.spare, &x.seen} {
 		*s = set()
 	}
@@ -297,6 +297,9 @@
 func (p *Placer) columns(m *machine, kind int) {
 	x, i := &p.index, m.at
 	x.useCores[i], x.useMemory[i] = 0, 0
+	if kind >= 0 {
+		x.others[i] = p.others(m)
+	}
 	if kind < 0 || !p.cfg.ListsFree {
 		return
 	}
@@ -307,7 +310,6 @@
 		x.useCores[i] = k.Cores - m.FreeCores + m.newCores
 		x.useMemory[i] = k.Memory - m.FreeMemory + m.newMemory
 	}
-	x.others[i] = p.others(m)
 	if asked := p.asked(m); asked != x.asked[i] {
 		x.asked[i] = asked
 		x.askedOld = append(x.askedOld, int32(i))
--- a/internal/lab/former/placer.go
+++ b/internal/lab/former/placer.go
@@ -30,6 +30,8 @@
 	strainBar   = 1500 * time.Millisecond
 	fullBar     = 500 * time.Millisecond
 	queueBar    = 150 * time.Millisecond
+	strainLoad  = 3.0
+	memoryLack  = 0.3
 	shortMemory = 0.92 // share of a machine's memory in use beyond which it is short
 	overMean    = 0.3  // a reported load so far over the mean of its peers contradicts the replay
 	reportFresh = 3 * time.Second
@@ -351,7 +353,7 @@
 	case flaxshelf.Lost:
 		switch e.Reason {
 		case flaxshelf.Evicted, flaxshelf.PushedOut:
-			m.strained = max(m.strained, p.now+2*strainBar)
+			p.strain(m, 2*strainBar, memoryLack)
 		case flaxshelf.SentAway:
 		default:
 			p.strike(&m.health)
@@ -382,11 +384,18 @@
 		return
 	}
 	switch {
-	case e.Kind == flaxshelf.Served && e.Amount < 0.95, e.Kind == flaxshelf.MemoryShort && e.Amount > shortMemory:
-		a.m.strained = max(a.m.strained, p.now+strainBar)
+	case e.Kind == flaxshelf.Served && e.Amount < 0.95:
+		p.strain(a.m, strainBar, 1-e.Amount)
+	case e.Kind == flaxshelf.MemoryShort && e.Amount > shortMemory:
+		p.strain(a.m, strainBar, memoryLack)
 	}
 }
 
+// strain is later than the text: see the module's.
+func (p *Placer) strain(m *machine, lasts time.Duration, lack float64) {
+	m.strained, m.lack = max(m.strained, p.now+lasts), lack
+}
+
 func (p *Placer) report(m *machine, l flaxshelf.Load) {
 	if l.Told {
 		m.load, m.loadAt = l, p.now
@@ -578,7 +587,6 @@
 		used := p.inUse(left)
 		keep(several, func(m *machine) bool { return used[m] })
 	}
-	keep(several, func(m *machine) bool { return p.now >= m.strained })
 	mean := 0.0
 	for _, m := range left {
 		mean += p.told(m) / float64(len(left))
@@ -755,13 +763,17 @@
 // list tells no room. It is an exception to the empty fleet from which a run starts: with few own binds
 // beside the machines most would tie at none.
 func (p *Placer) others(m *machine) float64 {
+	lack := 0.0
+	if p.now < m.strained {
+		lack = strainLoad * m.lack
+	}
 	if !p.cfg.ListsFree {
-		return 0
+		return lack
 	}
 	k := p.cfg.Kinds[m.Kind]
 	cores := k.Cores - m.FreeCores - (m.cores - m.newCores)
 	memory := k.Memory - m.FreeMemory - (m.memory - m.newMemory)
-	return max(0, cores/k.Cores, memory/k.Memory)
+	return lack + max(0, cores/k.Cores, memory/k.Memory)
 }
 
 // asked is the share of m that all schedulers together have asked for, by the list's word.
--- a/internal/lab/former/state.go
+++ b/internal/lab/former/state.go
@@ -42,8 +42,9 @@
 	offers                []flaxshelf.Time // recent offers, kept while the machine may be cold
 	health                                 // of the machine as a whole
 	classes               []health         // and of each class there
-	strained              flaxshelf.Time   // until then: our tasks there are served badly or memory is short
-	fullBar               flaxshelf.Time   // until then it refuses tasks of fullSize or more
+	lack                  float64
+	strained              flaxshelf.Time // until then: our tasks there are served badly or memory is short
+	fullBar               flaxshelf.Time // until then it refuses tasks of fullSize or more
 	fullSize              float64
 	fulls                 int            // refusals in a row
 	viewAt                flaxshelf.Time // when the list last told its free room
--- a/placer.go
+++ b/placer.go
@@ -33,7 +33,9 @@
 	strainBar   = 1500 * time.Millisecond
 	fullBar     = 500 * time.Millisecond
 	queueBar    = 150 * time.Millisecond
+	strainLoad  = 3.0  // a machine that serves half of full service counts as so many halves fuller
 	shortMemory = 0.92 // share of a machine's memory in use beyond which it is short
+	memoryLack  = 0.3  // short of full service, where memory is short or tasks were put out
 	overMean    = 0.3  // a reported load so far over the mean of its peers contradicts the replay
 	reportFresh = 3 * time.Second
 	holdStep    = 40 * time.Millisecond // how often a held task is looked at again
@@ -300,8 +302,7 @@
 
 // ---- Evidence: what outcomes, reports and notes say of a machine, each with an expiry.
 
-// strike bars what failed us; each further failure within forget doubles the time. The bar lasts until we
-// would come by again at least: one with few binds beside the machines would never feel a shorter bar.
+// strike bars what failed us, longer at each further failure within forget, and until we come by again.
 func (p *Placer) strike(h *health) {
 	if p.now-h.failedAt > forget {
 		h.strikes = 0
@@ -337,8 +338,7 @@
 	}
 }
 
-// failed tells a class's cause from a machine's: an error or silence belongs to the machine and class alone
-// where another class was served there lately, else to the machine too.
+// failed: an error or silence is the class's there where another class was served, else the machine's too.
 func (p *Placer) failed(t *task, m *machine) {
 	p.strike(m.record(t.Class))
 	for class := range m.classes {
@@ -349,9 +349,9 @@
 	p.strike(&m.health)
 }
 
-// blame strikes the machines that answered t with an error, now that it is placed or given up. Where several did and
-// none placed it, the task is at fault: bad clients' tasks would bar every machine in turn. It could hurt where most
-// machines begin to fail at once: they are struck once they have served none of the class for a while.
+// blame strikes the machines that answered t with an error, now that it is placed or given up. Where several
+// did and none placed it the task is at fault: bad clients' would bar every machine in turn. It could hurt
+// where most machines begin to fail at once; they are struck once they have served none for a while.
 func (p *Placer) blame(t *task) {
 	for _, m := range t.errors {
 		if t.placed || len(t.errors) < several {
@@ -366,21 +366,20 @@
 func (p *Placer) judge(t *task, a *attempt, e Ended) {
 	m := a.m
 	switch e.Verdict {
-	case Failed:
-		// Where the class was served lately the task itself may be at fault: another machine tells, see blame.
-		if at := m.record(t.Class).servedAt; at > 0 && p.now-at < forget && t.class.Effect != Unsafe {
+	case Failed, TimedOut:
+		// Where the class was served lately the task may be at fault: another machine tells, see blame.
+		at, more := m.record(t.Class).servedAt, e.Verdict == Failed && t.class.Effect != Unsafe
+		if more && at > 0 && p.now-at < forget {
 			t.errors = append(t.errors, m)
-			return
+		} else {
+			p.failed(t, m)
 		}
-		p.failed(t, m)
-	case TimedOut:
-		p.failed(t, m)
 	case Unreachable:
 		p.strike(&m.health)
 	case Lost:
 		switch e.Reason {
 		case Evicted, PushedOut:
-			m.strained = max(m.strained, p.now+2*strainBar)
+			p.strain(m, 2*strainBar, memoryLack)
 		case SentAway:
 		default:
 			p.strike(&m.health)
@@ -411,12 +410,19 @@
 		return
 	}
 	switch {
-	case e.Kind == Served && e.Amount < 0.95, e.Kind == MemoryShort && e.Amount > shortMemory:
-		a.m.strained = max(a.m.strained, p.now+strainBar)
-		p.touch(a.m)
+	case e.Kind == Served && e.Amount < 0.95:
+		p.strain(a.m, strainBar, 1-e.Amount)
+	case e.Kind == MemoryShort && e.Amount > shortMemory:
+		p.strain(a.m, strainBar, memoryLack)
 	}
 }
 
+// strain has what m lacks of full service count as load there for a while, see others.
+func (p *Placer) strain(m *machine, lasts time.Duration, lack float64) {
+	m.strained, m.lack = max(m.strained, p.now+lasts), lack
+	p.touch(m)
+}
+
 func (p *Placer) report(m *machine, l Load) {
 	if l.Told {
 		m.load, m.loadAt = l, p.now
@@ -424,7 +430,7 @@
 	}
 }
 
-// learnLife ends a life of t's class; one cut short by its machine counts as not ended.
+// learnLife ends a life of t's class; one cut short counts as not ended.
 func (p *Placer) learnLife(t *task, a *attempt, v Verdict) {
 	if l := p.life(t.Class); a.placed && l != nil {
 		l.seen += p.now - a.sent
@@ -435,8 +441,7 @@
 	}
 }
 
-// meanLife is the mean of a class's exponential lives with those still running counted as censored: time
-// seen running over endings. Endings alone would be biased short while most tasks still run.
+// meanLife is a class's mean of exponential lives, those still running censored: time seen over endings.
 func (p *Placer) meanLife(class int) time.Duration {
 	l := p.life(class)
 	if l == nil {
@@ -509,7 +514,7 @@
 	for c := range x.classes {
 		put(x.classes[c], i, until(m.classes[c].bar))
 	}
-	put(x.strained, i, until(m.strained))
+	until(m.strained)
 	put(x.refusing, i, until(m.fullBar))
 	put(x.rushed, i, m.window > 0 && m.waiting >= m.window)
 	x.told[i] = p.told(m)
@@ -695,12 +700,11 @@
 			n = left.Count()
 		}
 	}
-	bar(StrainedBar, several, x.strained)
 	bar(ContradictedBar, several, p.contradicted(left, n))
 	return p.homes(t, left, n)
 }
 
-// late tells that a task that was never offered has little of its time left.
+// late: never offered, and little of its time is left.
 func (p *Placer) late(t *task) bool {
 	return p.now >= t.taken+(t.ValidUntil-t.taken)*3/4 && len(t.attempts) == 0
 }
@@ -779,12 +783,9 @@
 }
 
 // homes names the machines where a service's program is likely held: those that have our tasks of it, and
-// its first home. A hash of both ranks homes, so all schedulers name the same ones without a word,
+// its first home. A hash ranks homes by size (weighted rendezvous hashing), the same at all schedulers,
 // and when one is barred only its own services move. The next ranks fill up to several, since a vote among
 // one is none. It could hurt where a flush empties the homes: the bar then only narrows the vote.
-//
-// A machine is home to services in proportion to its size (weighted rendezvous hashing), since schedulers
-// with few binds of their own follow the homes far more than the replay.
 func (p *Placer) homes(t *task, left *bitset.BitSet, n uint) []candidate {
 	x, s := &p.index, p.service(t.Service)
 	first, second := x.best(s, left)
@@ -832,8 +833,7 @@
 // vote replays the history r times from what others asked. Each run names the least loaded candidate now; the
 // one named most often wins.
 //
-// Of the candidates that the history does not touch only the least loaded can be named, since their load is
-// the same in all runs; the others of them are left out.
+// Of the candidates that the history does not touch only the least loaded is kept: no other wins.
 func (p *Placer) vote(list []candidate) *machine {
 	switch len(list) {
 	case 0:
@@ -898,17 +898,22 @@
 	alive         uint64 // chance that the drawn life reaches to now, in 1<<53rds
 }
 
-// others is what other schedulers have asked of m by the list's word, as a share of its kind; 0 where the
-// list tells no room. It is an exception to the empty fleet from which a run starts: with few own binds
-// beside the machines most would tie at none.
+// others is what m bears beside our binds, as a share of its kind: what others have asked by the list's
+// word, and what our tasks there lack of full service. It is an exception to the empty fleet of a run:
+// with few own binds most would tie at none, and a bar gives way when most machines serve badly. It could
+// hurt where one of our tasks is itself at fault.
 func (p *Placer) others(m *machine) float64 {
+	lack := 0.0
+	if p.now < m.strained && !p.without[StrainedBar] {
+		lack = strainLoad * m.lack
+	}
 	if !p.cfg.ListsFree {
-		return 0
+		return lack
 	}
 	k := p.cfg.Kinds[m.Kind]
 	cores := k.Cores - m.FreeCores - (m.cores - m.newCores)
 	memory := k.Memory - m.FreeMemory - (m.memory - m.newMemory)
-	return max(0, cores/k.Cores, memory/k.Memory)
+	return lack + max(0, cores/k.Cores, memory/k.Memory)
 }
 
 // asked is the share of m that all schedulers together have asked for, by the list's word.
@@ -996,8 +1001,7 @@
 	return rank
 }
 
-// overShare: what a tenant asks beyond its share is worth little. This scheduler's part of the traffic is
-// taken for the rest's. Acts only on the order of tasks that wait, so never on the ordinary path.
+// overShare: what a tenant asks beyond its share is worth little. Acts on the order of waiting tasks only.
 func (p *Placer) overShare(t *task) bool {
 	if t.Tenant < 0 || t.Tenant >= len(p.cfg.Tenants) || p.cfg.OverShareWorth >= 1 {
 		return false
--- a/placer_test.go
+++ b/placer_test.go
@@ -667,6 +667,35 @@
 	}
 }
 
+// What our tasks lack of full service counts as load in the vote for a while; a machine that serves worse loses to one
+// that serves better, also when both serve badly, and a fuller one that serves in full wins over both.
+func TestShortServiceIsLoad(t *testing.T) {
+	p := start(t, config(), fleet(3))
+	p.Step(time.Second, []Event{
+		Running{Task: Task{ID: "a", Service: "x", Cores: 1, Memory: 1, Tenant: -1}, Machine: "m0"},
+		Running{Task: Task{ID: "b", Service: "y", Cores: 1, Memory: 1, Tenant: -1}, Machine: "m1"},
+		Running{Task: Task{ID: "c", Service: "z", Cores: 8, Memory: 1, Tenant: -1}, Machine: "m2"}})
+	p.Step(time.Second+ms, []Event{Note{Task: "a", Machine: "m0", Kind: Served, Amount: 0.4},
+		Note{Task: "b", Machine: "m1", Kind: Served, Amount: 0.8}})
+	p.refresh()
+	if m := p.vote(everyone(p)); m.ID != "m2" {
+		t.Errorf("%s wins over the one that serves in full", m.ID)
+	}
+	if m := p.vote(everyone(p)[:2]); m.ID != "m1" {
+		t.Errorf("%s wins over the one that serves better", m.ID)
+	}
+	p.now += 2 * strainBar
+	change(p)
+	p.refresh()
+	if m := p.vote(everyone(p)); m.ID == "m2" {
+		t.Error("old notes count still")
+	}
+	p.Step(p.now, []Event{Note{Task: "a", Machine: "m0", Kind: MemoryShort, Amount: 0.99}})
+	if p.refresh(); p.vote(everyone(p)[:2]).ID != "m1" {
+		t.Error("short memory does not count")
+	}
+}
+
 // With few binds beside the machines a bar lasts until we would come by again.
 func TestBarLastsAVisit(t *testing.T) {
 	p := start(t, config(), fleet(10))
--- a/state.go
+++ b/state.go
@@ -52,6 +52,7 @@
 	offers                []Time   // recent offers, kept while the machine may be cold
 	health                         // of the machine as a whole
 	classes               []health // and of each class there
+	lack                  float64  // of full service, as our tasks there were last told while strained
 	strained              Time     // until then: our tasks there are served badly or memory is short
 	fullBar               Time     // until then it refuses tasks of fullSize or more
 	fullSize              float64
