Set-ups taken back prove no owner; half a line ends a connection; why tasks end is told

Seen by reading: a connection counted as an owner's by a set-up alone (internal/asks/owner.go, setUp), so hundreds of set-ups taken back at once, or half a line after a good one, kept it open for good. Now an answer, a test, a task that stands or the end of one proves it; a stranger whose set-up waits is not closed. The figures tell finished, evicted, pushed out and cut by the node. Tests: TestSilenceOfSetUps, TestAnyOrder.

--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -163,7 +163,7 @@
 	c.cancel(a.timer)
 	a.phase = standing
 	a.link.open--
-	c.shut(t)
+	c.shut(t, true)
 	t.detail, t.idem = "", "" // not needed any more
 	c.figures.Standing++
 	c.figures.Placed++
@@ -200,6 +200,7 @@
 		if in.Cause != CauseCancelled {
 			c.say(a.task, in.Cause)
 		}
+		c.countEnd(v, in.Reason)
 		c.end(a, v, in.Reason)
 	case ending:
 		v := flaxshelf.Withdrawn
@@ -245,6 +246,20 @@
 	c.letGo(a.node)
 }
 
+// countEnd counts why a standing task ended by its node's word.
+func (c *Core) countEnd(v flaxshelf.Verdict, r flaxshelf.Reason) {
+	switch {
+	case v == flaxshelf.Finished:
+		c.figures.Finished++
+	case v == flaxshelf.Lost && r == flaxshelf.Evicted:
+		c.figures.Evicted++
+	case v == flaxshelf.Lost && r == flaxshelf.PushedOut:
+		c.figures.PushedOut++
+	case v == flaxshelf.Lost:
+		c.figures.CutByNode++
+	}
+}
+
 func (c *Core) count(v flaxshelf.Verdict) {
 	switch v {
 	case flaxshelf.Refused:
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -57,7 +57,6 @@
 		}
 		return
 	}
-	c.door.Used(c.now, connlimit.ID(in.Conn))
 	if c.figures.Open >= c.cfg.MaxOpen || !c.door.Open(connlimit.ID(in.Conn)) {
 		c.figures.TooMany++
 		c.emit(Over{in.Conn, in.Task.ID, CauseFull}) // nothing of it has run
@@ -98,7 +97,7 @@
 	if t == nil || !t.open {
 		return
 	}
-	c.shut(t)
+	c.shut(t, true)
 	if cause == CauseFull {
 		c.figures.Refused++
 	} else {
@@ -108,8 +107,8 @@
 	c.forget(t)
 }
 
-// shut books that t's owner is owed no answer any more.
-func (c *Core) shut(t *task) {
+// shut books that t's owner is owed no answer any more: it has one, or gave the set-up up.
+func (c *Core) shut(t *task, answered bool) {
 	if !t.open {
 		return
 	}
@@ -118,7 +117,7 @@
 	if o := c.owners[t.conn]; o != nil {
 		delete(o.tasks, t.id)
 	}
-	c.door.Shut(c.now, connlimit.ID(t.conn))
+	c.door.Shut(c.now, connlimit.ID(t.conn), answered)
 }
 
 // opened takes an owner's connection in. Others may have to go for it.
@@ -153,7 +152,7 @@
 // released is an owner's release: before the answer the set-up is given up, after it the task ends.
 func (c *Core) released(conn Conn, id string) {
 	t := c.tasks[id]
-	if t != nil {
+	if t != nil && !t.open {
 		c.door.Used(c.now, connlimit.ID(conn))
 	}
 	switch {
@@ -166,7 +165,7 @@
 }
 
 func (c *Core) giveUp(t *task) {
-	c.shut(t)
+	c.shut(t, false)
 	c.figures.GivenUp++
 	c.tell(flaxshelf.Gone{Task: t.id})
 	if t.live != nil {
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -202,8 +202,8 @@
 
 // Figures are what a core has and has done.
 type Figures struct {
-	Open, Standing, Owners, Nodes, Links                                                    int
-	Placed, Refused, Failed, GivenUp, Offers, Retold, Ended                                 uint64
-	FullOffers, ErrorOffers, LateOffers, LostOffers, Unreached                              uint64
-	Expelled, TooMany, CutByDeath, CutBySilence, CutByList, LinksBroken, Doubted, StaleSays uint64
+	Open, Standing, Owners, Nodes, Links                                                                                             int
+	Placed, Refused, Failed, GivenUp, Offers, Retold, Ended                                                                          uint64
+	FullOffers, ErrorOffers, LateOffers, LostOffers, Unreached                                                                       uint64
+	Finished, Evicted, PushedOut, CutByNode, Expelled, TooMany, CutByDeath, CutBySilence, CutByList, LinksBroken, Doubted, StaleSays uint64
 }
--- a/internal/connlimit/limit.go
+++ b/internal/connlimit/limit.go
@@ -103,7 +103,8 @@
 	return nil
 }
 
-// Used books that a connection was of use: it carried a set-up that makes sense, a test or the end of a task.
+// Used books that a connection was of use: it carried a set-up that had its answer, a test, a task that stands or the end
+// of one. A set-up alone is not enough: bad clients send hundreds and take them back at once.
 func (d *Door) Used(now Time, id ID) {
 	e := d.all[id]
 	if e == nil {
@@ -147,11 +148,13 @@
 	return true
 }
 
-// Shut books that a set-up has its answer.
-func (d *Door) Shut(now Time, id ID) {
+// Shut books that a set-up has its answer, or was given up.
+func (d *Door) Shut(now Time, id ID, answered bool) {
 	if e := d.all[id]; e != nil && e.open > 0 {
 		e.open--
-		d.Used(now, id)
+		if answered {
+			d.Used(now, id)
+		}
 	}
 }
 
@@ -172,13 +175,23 @@
 // Silent returns the connections that have said nothing of use for too long, and when to ask next; 0: not before one
 // comes. What is returned counts as gone.
 func (d *Door) Silent(now Time) (out []ID, next Time) {
-	for x := d.strange.Front(); x != nil; x = d.strange.Front() {
+	waits := false // for the answer of a set-up, and is looked at again
+	for x := d.strange.Front(); x != nil; {
 		e := x.Value.(*entry)
+		x = x.Next()
 		if due := e.came + d.limits.Silent; now < due {
-			return out, due
+			next = due
+			break
+		}
+		if e.open > 0 {
+			waits = true
+			continue
 		}
 		d.Gone(e.id)
 		out = append(out, e.id)
 	}
-	return out, 0
+	if again := now + d.limits.Silent/8; waits && (next == 0 || again < next) {
+		next = again
+	}
+	return out, next
 }
--- a/internal/connlimit/limit_test.go
+++ b/internal/connlimit/limit_test.go
@@ -46,7 +46,7 @@
 		t.Errorf("closed %v, want 2", got)
 	}
 	d.Used(time.Second, 5)
-	d.Shut(time.Second, 1)
+	d.Shut(time.Second, 1, true)
 	d.Used(time.Second, 3)
 	d.Used(time.Second, 4)
 	if got := d.Came(time.Second+ms, 6, "h"); !slices.Equal(got, []ID{6}) {
@@ -67,6 +67,22 @@
 	}
 }
 
+// A stranger is not closed while its set-up waits; answered it is an owner, taken back it is as silent as before.
+func TestSilenceOfSetUps(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		d := door()
+		d.Came(0, 1, "h")
+		d.Open(1)
+		if out, next := d.Silent(3 * time.Second); len(out) > 0 || next != 3250*ms {
+			t.Errorf("%v, %v", out, next)
+		}
+		d.Shut(3*time.Second, 1, answered)
+		if out, next := d.Silent(3250 * ms); (len(out) == 0) != answered || next != 0 {
+			t.Errorf("answered %v: %v, %v", answered, out, next)
+		}
+	}
+}
+
 func TestBoundsOfOne(t *testing.T) {
 	d := door()
 	d.Came(0, 1, "h")
@@ -76,7 +92,7 @@
 	if !d.Open(1) || !d.Open(1) || d.Open(1) {
 		t.Error("the third open set-up is one too many")
 	}
-	if d.Shut(0, 1); !d.Open(1) {
+	if d.Shut(0, 1, true); !d.Open(1) {
 		t.Error("a set-up that has its answer counts on")
 	}
 	if d.Wrong(9) || d.Open(9) {
@@ -111,7 +127,7 @@
 		case 3:
 			if open[id] > 0 {
 				open[id]--
-				d.Shut(now, id)
+				d.Shut(now, id, rng.IntN(2) == 0)
 			}
 		case 4:
 			d.Gone(id)
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -18,6 +18,21 @@
 	errExpelled = errors.New("platform: the connection had to go")
 )
 
+// half tells whether a message has begun and is not whole.
+type half bool
+
+// watch closes a connection on which half a message stays for longer than within.
+func (h *half) watch(c *transport.Conn, used, of int, within time.Duration) {
+	is := half(used < of)
+	if is == *h && (!is || used == 0) {
+		return
+	}
+	if *h = is; !is {
+		within = 0
+	}
+	c.Hurry(within)
+}
+
 // ownerPeer makes the peer of an owner's new connection.
 func (s *Scheduler) ownerPeer(*transport.Conn) transport.Peer {
 	return &ownerPeer{s: s, id: asks.Conn(s.conns.Add(1))}
@@ -25,8 +40,9 @@
 
 // ownerPeer reads what owners say on one connection. It belongs to the loop.
 type ownerPeer struct {
-	s  *Scheduler
-	id asks.Conn
+	s    *Scheduler
+	id   asks.Conn
+	half half
 }
 
 // Opened implements transport's hook.
@@ -69,6 +85,7 @@
 	if len(all) > 0 && !p.s.offer(message{in: all}) {
 		return used, errFull
 	}
+	p.half.watch(c, used, len(in), mute)
 	if err != nil {
 		p.s.opt.Log.Debug().Err(err).Str("owner", c.Remote()).Msg("the connection can't be read on")
 	}
@@ -87,7 +104,7 @@
 type nodePeer struct {
 	s    *Scheduler
 	link asks.Link
-	half bool // a message has begun and is not whole
+	half half
 }
 
 // halfWithin is how long the rest of a node's message may take. Risk covered: an answer that stops short, or whose length
@@ -123,14 +140,7 @@
 	if len(all) > 0 && !p.s.offer(message{in: all}) {
 		return used, errFull
 	}
-	if half := used < len(in); half != p.half || half && used > 0 {
-		p.half = half
-		if half {
-			c.Hurry(halfWithin)
-		} else {
-			c.Hurry(0)
-		}
-	}
+	p.half.watch(c, used, len(in), halfWithin)
 	return used, err
 }
 
