--- a/internal/asks/script_test.go
+++ b/internal/asks/script_test.go
@@ -96,17 +96,6 @@
 	w.step(in)
 }
 
-// connect brings up all links that were dialled.
-func (w *world) connect() {
-	w.t.Helper()
-	for _, e := range w.out {
-		if d, ok := e.(Dial); ok {
-			w.up[d.Node] = d.Link
-			defer w.step(Up{d.Link})
-		}
-	}
-}
-
 // nodes lists nodes that are in service and brings up their links.
 func (w *world) nodes(names ...string) {
 	w.t.Helper()
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -202,8 +202,17 @@
 
 // Figures are what a core has and has done.
 type Figures struct {
-	Open, Standing, Owners, Nodes, Links                                                                                             int
-	Placed, Refused, Failed, GivenUp, Offers, Retold, Ended                                                                          uint64
-	FullOffers, ErrorOffers, LateOffers, LostOffers, Unreached                                                                       uint64
-	Finished, Evicted, PushedOut, CutByNode, Expelled, TooMany, CutByDeath, CutBySilence, CutByList, LinksBroken, Doubted, StaleSays uint64
+	// Now.
+	Open, Standing, Owners, Nodes, Links int
+	// Final answers, set-ups taken back, offers made.
+	Placed, Refused, Failed, GivenUp, Offers uint64
+	// Tasks handed over, and standing tasks that are over: by their node's word and why, or without it.
+	Retold, Ended, Finished, Evicted, PushedOut, CutByNode uint64
+	CutByDeath, CutBySilence, CutByList                    uint64
+	// Offers that were not placed.
+	FullOffers, ErrorOffers, LateOffers, LostOffers, Unreached uint64
+	// Owners' connections closed, and set-ups over the bounds.
+	Expelled, TooMany uint64
+	// Links that broke or were replaced for silence; answers that were late or nobody's.
+	LinksBroken, Doubted, StaleSays uint64
 }
--- a/internal/connlimit/limit_test.go
+++ b/internal/connlimit/limit_test.go
@@ -86,11 +86,15 @@
 func TestBoundsOfOne(t *testing.T) {
 	d := door()
 	d.Came(0, 1, "h")
-	if d.Wrong(1) || d.Wrong(1) || !d.Wrong(1) {
-		t.Error("the third message of no use is one too many")
+	for n := range 3 {
+		if d.Wrong(1) != (n == 2) {
+			t.Errorf("message %d of no use: the third is one too many", n+1)
+		}
 	}
-	if !d.Open(1) || !d.Open(1) || d.Open(1) {
-		t.Error("the third open set-up is one too many")
+	for n := range 3 {
+		if d.Open(1) != (n < 2) {
+			t.Errorf("open set-up %d: the third is one too many", n+1)
+		}
 	}
 	if d.Shut(0, 1, true); !d.Open(1) {
 		t.Error("a set-up that has its answer counts on")
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -89,7 +89,8 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core or a part of one
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
-	s := &Scheduler{opt: opt, box: make(chan message, mailbox), ended: make(chan struct{}), slots: make(chan struct{}, cfg.Limits.Sockets*3/4),
+	s := &Scheduler{opt: opt, box: make(chan message, mailbox), ended: make(chan struct{}),
+		slots:  make(chan struct{}, cfg.Limits.Sockets*3/4),
 		owners: map[asks.Conn]*peer{}, links: map[asks.Link]*peer{}, last: cfg.Last}
 	s.cfg.Store(cfg)
 	core := asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, MaxOpen: maxOpen,
