--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -1,6 +1,7 @@
 package asks
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -408,3 +409,46 @@
 		t.Errorf("%+v", e)
 	}
 }
+
+// The long day in small: nodes, connections and ids that are always new. The heap of the core and its module is no larger
+// at the end than half way.
+func TestLongDayKeepsItsHeap(t *testing.T) {
+	w := newWorld(t)
+	w.c.cfg.Tap = nil // the test's own memory must not grow
+	conn, n := Conn(0), 0
+	half := func() uint64 {
+		for round := range 2000 {
+			name := "n" + id(n+round)
+			effects, _ := w.c.Step(w.now, []Input{Listed{Machines: []flaxshelf.Machine{machine(name, flaxshelf.In, 0)}, Addrs: []string{"x"}}})
+			for _, e := range append([]Effect(nil), effects...) {
+				if d, ok := e.(Dial); ok {
+					w.c.Step(w.now, []Input{Up{d.Link}})
+				}
+			}
+			for range 5 {
+				conn++
+				n++
+				effects, _ = w.c.Step(w.now, []Input{Opened{Conn: conn, Host: "h"}, w.ask(conn, n, 0)})
+				for _, e := range append([]Effect(nil), effects...) {
+					if o, ok := e.(Offer); ok {
+						w.c.Step(w.now, []Input{Heard{Link: o.Link, Say: SaysAnswer, Task: o.Task, Description: "d"}})
+					}
+				}
+				w.now += 200 * time.Millisecond
+			}
+			w.c.Step(w.now, []Input{Listed{Machines: []flaxshelf.Machine{machine(name, flaxshelf.Out, 0)}, Addrs: []string{"x"}}})
+		}
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	first, second := half(), half()
+	if w.c.Figures().Placed < 15000 {
+		t.Fatalf("%+v", w.c.Figures())
+	}
+	if second > first+256<<10 {
+		t.Errorf("the heap has grown from %d to %d KiB in the second half", first>>10, second>>10)
+	}
+	runtime.KeepAlive(w)
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -385,6 +385,28 @@
 	}
 }
 
+// What stood before a start comes back by set-ups that carry at, which are not answered; the node is not asked again, its
+// word of the end reaches the owner, and a set-up for what is held already changes nothing.
+func TestHandedOver(t *testing.T) {
+	n := newNode(t, "127.0.0.1:0", answers)
+	s := newSite(t, server("s-1", n.addr(), "active"))
+	c := s.client()
+	for range 2 {
+		c.send(`{"type":"setup","id":"%016x","fields":{"class":"batch","left":"0","key":"k","extras":"cores:1;memory:1;service:s;at:s-1"},"sdp":"d"}`, 7)
+	}
+	c.send(`{"type":"ping","id":"%016x"}`, 1)
+	c.want("pong", 1, 1)
+	c.setUp(8)
+	c.want("answer", 8, 0)
+	if m := n.next(t, nodeparam.SetUp); m.Task != 8 {
+		t.Errorf("%+v", m)
+	}
+	n.mu.Lock()
+	say(n.conns[0], nodeparam.Message{Type: nodeparam.Release, Task: 7, Cause: 41, Word: "oom"})
+	n.mu.Unlock()
+	c.want("release", 7, 41)
+}
+
 // Spoilt bytes end a connection to a node; the set-up goes elsewhere, and is answered.
 func TestSpoiltAnswers(t *testing.T) {
 	n := newNode(t, "127.0.0.1:0", func(c net.Conn, m nodeparam.Message) {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -285,3 +286,63 @@
 		}
 	}
 }
+
+// An acceptor outlives the want of descriptors: what connects meanwhile waits, and is served when some come free.
+func TestAcceptWithoutDescriptors(t *testing.T) {
+	d, err := NewDialer(Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := d.Stop(); err != nil {
+			t.Error(err)
+		}
+	}()
+	let, closed := make(chan struct{}), make(chan error, 1)
+	a, err := d.Accept("127.0.0.1:0", func() { <-let }, func(*Conn) Peer { return &echo{closed: closed} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Stop()
+	c, err := net.Dial("tcp", a.Addr()) // it waits in the listener's queue
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte("hello\n")); err != nil {
+		t.Fatal(err)
+	}
+	var was syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	few := was
+	few.Cur = 256
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &few); err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was)
+	var held []int
+	for {
+		fd, err := syscall.Open("/dev/null", syscall.O_RDONLY|syscall.O_CLOEXEC, 0)
+		if err != nil {
+			break
+		}
+		held = append(held, fd)
+	}
+	close(let)
+	_ = c.SetReadDeadline(time.Now().Add(5 * acceptPause))
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("served without a descriptor")
+	}
+	for _, fd := range held {
+		_ = syscall.Close(fd)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	b := make([]byte, 6)
+	if _, err := io.ReadFull(c, b); err != nil || string(b) != "hello\n" {
+		t.Errorf("%q, %v", b, err)
+	}
+	_ = c.Close()
+	<-closed
+}
