--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -341,7 +341,7 @@
 	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
 	b := make([]byte, 6)
 	if _, err := io.ReadFull(c, b); err != nil || string(b) != "hello\n" {
-		t.Errorf("%q, %v", b, err)
+		t.Fatalf("%q, %v", b, err)
 	}
 	_ = c.Close()
 	<-closed
