A draining node that refuses a scheduler started anew is not dead

The node drained and listened no more, the first dial of the new life was refused, and what had been handed over there was taken for dead (internal/asks/node.go, down). Ruled out: the lists of the new configuration (CutByList 0 there), owners' own releases.

Change: of a node that drains a refusal is a death only after a link that was up; else the list's word ends it. Test: TestHandedOverOnADrainingNode, seen to fail without it.

--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -283,6 +283,27 @@
 	}
 }
 
+// A scheduler that starts anew is handed what stands on a node that drains and listens no more: the refusal is no death,
+// and what stands there is cut when the list says that the node has left.
+func TestHandedOverOnADrainingNode(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.list(flaxshelf.Draining, "n")
+	d := one[Dial](w)
+	w.step(Held{Conn: 1, Node: "n", Task: w.ask(1, 7, 0).Task})
+	for range 30 {
+		w.step(Down{Link: d.Link, Refused: true})
+		none[Over](w)
+		w.pass(redialMost)
+		none[Over](w)
+		d = one[Dial](w)
+	}
+	w.list(flaxshelf.Out, "n")
+	if e := one[Over](w); e.Task != id(7) {
+		t.Errorf("%+v", e)
+	}
+}
+
 // A node is known by its id: another one at its address cuts what stood on it, and its words end nothing of it.
 func TestAddressUsedAgain(t *testing.T) {
 	w := newWorld(t)
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -17,6 +17,7 @@
 	live    map[string]*attempt
 	heardAt Time // the last sign of life: a word, or a link that came up
 	fails   int  // dials that failed in a row
+	linked  bool // a link to it was up in this life
 	redial  *timer
 }
 
@@ -80,7 +81,7 @@
 		return
 	}
 	n := l.node
-	l.up, l.heardAt, n.heardAt, n.fails = true, c.now, c.now, 0
+	l.up, l.heardAt, n.heardAt, n.fails, n.linked = true, c.now, c.now, 0, true
 	if n.cur != l {
 		c.hang(l)
 		return
@@ -151,13 +152,19 @@
 		c.keepOld(n, old, in.Refused)
 		return
 	}
+	// A node that drains listens no more: refused, it is dead only where a link was up and broke before. Risk covered: a
+	// scheduler that starts anew would release all that it is handed over there.
+	dead := in.Refused && (n.linked || n.entry.State != flaxshelf.Draining)
+	if in.Refused && !dead {
+		n.heardAt = c.now
+	}
 	if !was {
 		n.fails++
 		for _, a := range n.sorted() {
 			switch {
 			case a.phase == connecting:
 				c.end(a, flaxshelf.Unreachable, flaxshelf.Untold)
-			case a.phase >= standing && in.Refused:
+			case a.phase >= standing && dead:
 				c.figures.CutByDeath++
 				c.lose(a)
 			}
