Links without traffic are renewed before their node closes them

Need: a set-up that crosses a node's idle close counts as one that may have run: a keyed task is then bound to a room, an attempt is spent. Ruled out: holding such a set-up for proof, since a close tells nothing of what was read before it.

Change: the settings' idle time is read, and a link without a word either way for three quarters of it is renewed (internal/asks/node.go, idles). Test: TestIdleLinkIsRenewed, seen to fail without it.

--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -304,6 +304,32 @@
 	}
 }
 
+// A link without traffic is renewed before its node closes it: the next set-up goes on the newer one, and one that crosses
+// the close of the old loses nothing. Traffic either way keeps a link.
+func TestIdleLinkIsRenewed(t *testing.T) {
+	w := newWorld(t, func(c *Config) { c.Idle = 30 * time.Second })
+	w.step(Opened{Conn: 1, Host: "h"}, Tested{1, id(1)})
+	w.nodes("n")
+	w.pass(20 * time.Second)
+	w.place(1, 7, 0)
+	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(7), Cause: CauseGivenUp})
+	w.pass(20 * time.Second)
+	none[Dial](w)
+	w.pass(5 * time.Second)
+	d := one[Dial](w)
+	w.step(Up{d.Link})
+	w.step(w.ask(1, 8, 0))
+	if o := one[Offer](w); o.Link != d.Link {
+		t.Errorf("offered on link %d, want %d", o.Link, d.Link)
+	}
+	w.step(Down{Link: w.up["n"]})
+	if e := told[flaxshelf.Ended](w); len(e) != 1 {
+		t.Errorf("%+v", e)
+	}
+	w.step(Heard{Link: d.Link, Say: SaysAnswer, Task: id(8), Description: "d"})
+	one[Answer](w)
+}
+
 // A node is known by its id: another one at its address cuts what stood on it, and its words end nothing of it.
 func TestAddressUsedAgain(t *testing.T) {
 	w := newWorld(t)
--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -67,7 +67,7 @@
 		return
 	}
 	t := a.task
-	a.phase, a.link = offered, l
+	a.phase, a.link, l.usedAt = offered, l, c.now
 	l.open++
 	c.emit(Offer{Link: l.id, Node: a.node.entry.ID, Task: t.id, Class: t.class, Key: t.spec.Key, Idem: t.idem,
 		Detail: t.detail, Left: left})
@@ -133,7 +133,7 @@
 	if l == nil {
 		return
 	}
-	l.heardAt, l.node.heardAt = c.now, c.now
+	l.heardAt, l.usedAt, l.node.heardAt = c.now, c.now, c.now
 	a := c.attemptOn(in.Link, in.Task)
 	switch in.Say {
 	case SaysAnswer:
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -16,7 +16,9 @@
 	Seed   uint64
 	// Silent is how long a node may be out of reach before what stands there counts as cut. The platform wants owners told
 	// within 8 s of an end of which no word could come.
-	Silent  time.Duration
+	Silent time.Duration
+	// Idle is after how long without traffic nodes close a connection; 0: not told.
+	Idle    time.Duration
 	Door    connlimit.Limits
 	MaxOpen int // set-ups that may wait for their answer; more are refused
 	// Tap, when set, is given each step of the module. It must not keep or change the slices.
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -29,6 +29,7 @@
 	doubted bool // silent where it should have told something: a newer one takes its place
 	open    int  // set-ups out on it
 	heardAt Time
+	usedAt  Time // the last word either way, or its coming up
 }
 
 const (
@@ -81,6 +82,7 @@
 		return
 	}
 	n := l.node
+	l.usedAt = c.now
 	l.up, l.heardAt, n.heardAt, n.fails, n.linked = true, c.now, c.now, 0, true
 	if n.cur != l {
 		c.hang(l)
@@ -194,6 +196,8 @@
 	for _, n := range c.sortedNodes() {
 		silent := c.now - n.heardAt
 		switch {
+		case c.idles(n.cur):
+			c.doubt(n.cur)
 		case len(n.live) == 0:
 		case n.cur != nil && n.cur.up && !n.cur.doubted:
 			if silent >= quiet {
@@ -211,6 +215,12 @@
 	}
 }
 
+// idles tells whether a node may be about to close a link for want of traffic. Risk covered: a set-up that crosses such a
+// close counts as one that may have run, so the link is renewed ahead of it.
+func (c *Core) idles(l *link) bool {
+	return l != nil && l.up && !l.doubted && c.cfg.Idle > 0 && c.now-l.usedAt >= c.cfg.Idle*3/4
+}
+
 // standingLink is the newest link of a node that is up; nil where none is.
 func (c *Core) standingLink(n *node) (best *link) {
 	for _, l := range c.links {
--- a/internal/front/platformfront/platformfront_test.go
+++ b/internal/front/platformfront/platformfront_test.go
@@ -17,7 +17,7 @@
 {"n":1,"members":{"version":1,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:5","zone":"east","kind":"std","cell":2,"state":"active","weight":4,"started_ms":0}]}},
 {"n":2,"members":{"version":2,"full":false,"servers":[{"id":"s-1","addr":"127.0.0.1:5","zone":"east","kind":"std","cell":2,"state":"leaving","weight":4,"started_ms":1500}]}}]},
 "settings":{"index":1,"balancers":3,"zone":"east","kinds":["std"],"discovery":"pushed","round_ns":2000000,"customers":[],
-"caps":{"cancel":true,"most_tries":3,"connect_timeout_ns":250000000},"obligations":{"stop_sending_within_ns":2000000000},
+"caps":{"cancel":true,"most_tries":3,"connect_timeout_ns":250000000,"conn_idle_ns":30000000000},"obligations":{"stop_sending_within_ns":2000000000},
 "categories":[{"name":"batch one","effect":"read_like","objective_ns":600000000,"worth":3.0},
 {"name":"keyed","effect":"idempotency_key","key_scope":"zone","key_ttl_ns":5000000000,"worth":9.0}],
 "specifics":{"kind_cores":[32],"mem_of_kind":[64.5],"admit_cores":1.5,"memory_multiple":1.5,"kind_by_class":[-1,-1],
@@ -36,7 +36,7 @@
 func TestConfig(t *testing.T) {
 	c := config(t)
 	m := c.Module
-	if c.Seed != 0x8c1f30d27a5be964 || c.Last != 2 || c.Limits != (Limits{0.25, 64, 256}) || m.Index != 1 ||
+	if c.Seed != 0x8c1f30d27a5be964 || c.Idle != 30*time.Second || c.Last != 2 || c.Limits != (Limits{0.25, 64, 256}) || m.Index != 1 ||
 		m.Schedulers != 3 || m.DiscoveryAsks || !m.CanWithdraw || m.MaxAttempts != 3 || m.Tick != 2*time.Millisecond {
 		t.Errorf("%+v", c)
 	}
@@ -61,6 +61,7 @@
 		{`"sockets":256`, `"sockets":3`, "field limits.sockets"},
 		{`"seed":"8c1f30d27a5be964"`, `"seed":"soon"`, "field seed"},
 		{`"index":1`, `"index":"x"`, "field settings"},
+		{`"conn_idle_ns":30000000000`, `"conn_idle_ns":"x"`, "conn_idle_ns"},
 		{`"state":"leaving"`, `"state":"odd"`, "known.events[1]"},
 		{`"settings":{`, `"settings":[],"x":{`, "field settings"},
 	} {
--- a/internal/front/platformfront/settings.go
+++ b/internal/front/platformfront/settings.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/goccy/go-json"
 
@@ -28,8 +29,9 @@
 	Name, Listen, Feed string
 	Seed               uint64
 	Limits             Limits
-	Known              []Change // the control feed's events of the start
-	Last               uint64   // the number of the last of them
+	Known              []Change      // the control feed's events of the start
+	Last               uint64        // the number of the last of them
+	Idle               time.Duration // after which nodes close a connection without traffic; 0: not told
 	Module             flaxshelf.Config
 	Names              *benchhost.Names
 }
@@ -84,6 +86,15 @@
 	if c.Module, c.Names, err = benchhost.Settings(pairs); err != nil {
 		return nil, fmt.Errorf("platform configuration: field settings: %w", err)
 	}
+	var caps struct {
+		Caps struct {
+			Idle int64 `json:"conn_idle_ns"`
+		}
+	}
+	if err := json.Unmarshal(w.Settings, &caps); err != nil || caps.Caps.Idle < 0 {
+		return bad("settings.caps.conn_idle_ns", "a time in nanoseconds", caps.Caps.Idle)
+	}
+	c.Idle = time.Duration(caps.Caps.Idle)
 	for i, raw := range w.Known.Events {
 		e, err := c.Change(raw)
 		if err != nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -93,7 +93,7 @@
 		slots:  make(chan struct{}, cfg.Limits.Sockets*3/4),
 		owners: map[asks.Conn]*peer{}, links: map[asks.Link]*peer{}, last: cfg.Last}
 	s.cfg.Store(cfg)
-	core := asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, MaxOpen: maxOpen,
+	core := asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, Idle: cfg.Idle, MaxOpen: maxOpen,
 		Door: connlimit.Limits{Most: cfg.Limits.Sockets * 5 / 8, Silent: mute, Spare: spare, Wrong: 3, Open: maxOpen / 8}}
 	if opt.Tap != "" {
 		if s.tap, err = replay.Create(opt.Tap, cfg.Module, cfg.Seed); err != nil {
