One write queue and one set of timers for both cores and both shells

Need: the platform's shell had written again what the daemon had for offers that are late at their write, and its core the timers of the other core. Change: internal/daemon writes through transport.Outbox; both cores use dueheap.Timers.

--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"flaxshelf.example/flaxshelf"
+	"flaxshelf.example/flaxshelf/internal/dueheap"
 )
 
 // phase is how far an attempt has come.
@@ -26,7 +27,7 @@
 	phase phase
 	sent  Time
 	limit time.Duration
-	timer *timer
+	timer *dueheap.Timer
 }
 
 // offer carries out the module's choice.
@@ -53,14 +54,14 @@
 		return
 	}
 	wait := min(a.limit, max(c.cfg.Module.ConnectTimeout, time.Millisecond))
-	a.timer = c.after(c.now+wait, func() { c.end(a, flaxshelf.Unreachable, flaxshelf.Untold) })
-	c.cancel(n.redial) // what is asked now need not wait with the others
+	a.timer = c.timers.After(c.now+wait, func() { c.end(a, flaxshelf.Unreachable, flaxshelf.Untold) })
+	c.timers.Cancel(n.redial) // what is asked now need not wait with the others
 	c.keepLink(n)
 }
 
 // send writes the set-up of an attempt.
 func (c *Core) send(a *attempt, l *link) {
-	c.cancel(a.timer)
+	c.timers.Cancel(a.timer)
 	left := a.sent + a.limit - c.now
 	if left <= 0 {
 		c.end(a, flaxshelf.NotSent, flaxshelf.Untold)
@@ -71,7 +72,7 @@
 	l.open++
 	c.emit(Offer{Link: l.id, Node: a.node.entry.ID, Task: t.id, Class: t.class, Key: t.spec.Key, Idem: t.idem,
 		Detail: t.detail, Left: left})
-	a.timer = c.after(c.now+left, func() { c.timeOut(a) })
+	a.timer = c.timers.After(c.now+left, func() { c.timeOut(a) })
 }
 
 // timeOut gives an attempt up. A link that has told nothing since the set-up went out is doubted: a machine that is cut
@@ -102,7 +103,7 @@
 	a := t.live
 	a.phase = ending
 	c.cutStanding(a)
-	a.timer = c.after(c.now+endWithin, func() { c.end(a, flaxshelf.Withdrawn, flaxshelf.Untold) })
+	a.timer = c.timers.After(c.now+endWithin, func() { c.end(a, flaxshelf.Withdrawn, flaxshelf.Untold) })
 }
 
 // endWithin is how long the node's word of a cut is waited for before the task counts as ended all the same.
@@ -160,7 +161,7 @@
 // stand passes a node's answer on.
 func (c *Core) stand(a *attempt, detail string) {
 	t := a.task
-	c.cancel(a.timer)
+	c.timers.Cancel(a.timer)
 	a.phase = standing
 	a.link.open--
 	c.shut(t, true)
@@ -225,7 +226,7 @@
 		return
 	}
 	t, was := a.task, a.phase
-	c.cancel(a.timer)
+	c.timers.Cancel(a.timer)
 	a.phase = over
 	if was == offered {
 		a.link.open--
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -36,13 +36,13 @@
 	tasks    map[string]*task
 	owners   map[Conn]*owner
 	door     *connlimit.Door
-	silence  *timer // of the next owner's connection that says nothing
+	silence  *dueheap.Timer // of the next owner's connection that says nothing
 	nodes    map[string]*node
 	links    map[Link]*link
 	lastLink Link
 	shows    uint64
 	unsaid   []*Over // ends that no connection could be found for
-	timers   dueheap.Heap[func()]
+	timers   dueheap.Timers
 	feed     feed
 	stopping bool
 	figures  Figures
@@ -69,13 +69,7 @@
 // The effects are good until the next step.
 func (c *Core) Step(now Time, inputs []Input) ([]Effect, Time) {
 	c.now, c.out = max(now, c.now), c.out[:0]
-	for {
-		t := c.timers.Due(c.now)
-		if t == nil {
-			break
-		}
-		t.Value()
-	}
+	c.timers.Fire(c.now)
 	c.follow()
 	for _, in := range inputs {
 		c.take(in)
@@ -115,21 +109,6 @@
 func (c *Core) emit(e Effect)          { c.out = append(c.out, e) }
 func (c *Core) tell(e flaxshelf.Event) { c.events = append(c.events, e) }
 
-type timer = dueheap.Item[func()]
-
-// after has f called at the given time, in the first step from then on.
-func (c *Core) after(at Time, f func()) *timer {
-	t := &timer{Value: f}
-	c.timers.Set(t, at)
-	return t
-}
-
-func (c *Core) cancel(t *timer) {
-	if t != nil {
-		c.timers.Remove(t)
-	}
-}
-
 func (c *Core) take(in Input) {
 	switch in := in.(type) {
 	case SetUp:
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"flaxshelf.example/flaxshelf"
+	"flaxshelf.example/flaxshelf/internal/dueheap"
 )
 
 // node is a machine by its id. Another one at the same address is another node.
@@ -18,7 +19,7 @@
 	heardAt Time // the last sign of life: a word, or a link that came up
 	fails   int  // dials that failed in a row
 	linked  bool // a link to it was up in this life
-	redial  *timer
+	redial  *dueheap.Timer
 }
 
 // link is a connection to a node.
@@ -104,7 +105,7 @@
 		return
 	}
 	l.doubted = true
-	c.after(c.now+lingers, func() {
+	c.timers.After(c.now+lingers, func() {
 		if cur := l.node.cur; c.links[l.id] != nil && cur != l && cur != nil && cur.up {
 			c.hang(l)
 		}
@@ -175,7 +176,7 @@
 		if n.fails < 5 {
 			wait = redialFirst << n.fails
 		}
-		n.redial = c.after(c.now+wait, func() { c.keepLink(n) })
+		n.redial = c.timers.After(c.now+wait, func() { c.keepLink(n) })
 		return
 	}
 	c.keepLink(n)
@@ -192,7 +193,7 @@
 // never come up. What stands there counts as cut after Config.Silent; so does what was handed over on a node that no list
 // names.
 func (c *Core) sweep() {
-	c.after(c.now+sweepEvery, c.sweep)
+	c.timers.After(c.now+sweepEvery, c.sweep)
 	for _, n := range c.sortedNodes() {
 		silent := c.now - n.heardAt
 		switch {
@@ -239,7 +240,7 @@
 	if refused {
 		n.heardAt, old.doubted = c.now, false
 	} else {
-		n.redial = c.after(c.now+redialMost, func() { c.keepLink(n) }) // old is doubted on
+		n.redial = c.timers.After(c.now+redialMost, func() { c.keepLink(n) }) // old is doubted on
 	}
 	for _, a := range n.sorted() {
 		if a.phase == connecting {
@@ -253,7 +254,7 @@
 	if n.wanted() || len(n.live) > 0 {
 		return
 	}
-	c.cancel(n.redial)
+	c.timers.Cancel(n.redial)
 	for _, l := range c.linksOf(n) {
 		c.hang(l)
 	}
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -138,7 +138,7 @@
 		c.expel(Conn(id))
 	}
 	if next > 0 {
-		c.silence = c.after(next, c.silent)
+		c.silence = c.timers.After(next, c.silent)
 	}
 }
 
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -210,7 +210,7 @@
 		if l == nil || l.conn == nil {
 			return nil
 		}
-		if len(l.out) == 0 {
+		if l.box.Empty() {
 			touched = append(touched, l)
 		}
 		return l
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -76,10 +76,9 @@
 
 // outgoing is one core's end of the connection to a node.
 type outgoing struct {
-	name   string
-	conn   *transport.Conn // nil until the node has welcomed us
-	out    []byte          // encoded frames of the step in hand
-	offers []offerAt       // where offers are among them
+	name string
+	conn *transport.Conn // nil until the node has welcomed us
+	box  transport.Outbox
 }
 
 func (c *core) link(name string) *outgoing {
@@ -91,25 +90,21 @@
 	return l
 }
 
-// offerAt is an offer among encoded frames.
-type offerAt struct {
-	attempt    string
-	begin, end int
-}
-
 // put encodes a frame behind those of the step.
 func (l *outgoing) put(f *nodepb.Frame) {
-	var err error
-	if l.out, err = nodeframe.Append(l.out, f); err != nil { // every field is bounded where it comes in
+	must(l.box.Put(func(b []byte) ([]byte, error) { return nodeframe.Append(b, f) }))
+}
+
+// must is for frames that can always be encoded: every field is bounded where it comes in.
+func must(err error) {
+	if err != nil {
 		panic(fmt.Sprintf("daemon: a frame can't be sent: %v", err))
 	}
 }
 
 func encode(f *nodepb.Frame) []byte {
 	b, err := nodeframe.Append(nil, f)
-	if err != nil { // every field is bounded where it comes in
-		panic(fmt.Sprintf("daemon: a frame can't be sent: %v", err))
-	}
+	must(err)
 	return b
 }
 
@@ -118,9 +113,9 @@
 func (c *core) putOffer(l *outgoing, e *scheduler.SendOffer) {
 	nodefront.Task(c.d.set, e, &c.scratch.task)
 	c.scratch.offer.Attempt, c.scratch.offer.ValidForNs = e.Attempt, int64(e.ValidFor)
-	begin := len(l.out)
-	l.put(&c.scratch.frame)
-	l.offers = append(l.offers, offerAt{e.Attempt, begin, len(l.out)})
+	name, attempt := l.name, e.Attempt
+	must(l.box.PutTimed(func(b []byte) ([]byte, error) { return nodeframe.Append(b, &c.scratch.frame) },
+		func() { c.late(name, attempt) }))
 }
 
 // scratch is an offer that is filled and encoded again and again.
@@ -135,30 +130,10 @@
 	s.frame.Body = &nodepb.Frame_Offer{Offer: &s.offer}
 }
 
-// flush hands a step's frames to the node's loop. Risk covered: a process that is stopped between the decision
-// and the write would send an offer long after word of a drain; such offers come back unsent.
+// flush hands a step's frames to the node's loop. An offer that comes there late, or not at all, comes back unsent.
 func (c *core) flush(l *outgoing, decided scheduler.Time) {
-	out, offers := l.out, l.offers
-	l.out, l.offers = nil, nil
 	limit := c.d.set.Rules.DrainGrace.Of() / 2
-	name := l.name
-	sent := l.conn.Do(len(out), func(write func([]byte)) {
-		if len(offers) > 0 && clock.Now()-decided >= limit {
-			at := 0
-			for _, o := range offers {
-				write(out[at:o.begin])
-				c.late(name, o.attempt)
-				at = o.end
-			}
-			out = out[at:]
-		}
-		write(out)
-	})
-	if !sent { // the connection is being cut off; what was not written has not run
-		for _, o := range offers {
-			c.late(name, o.attempt)
-		}
-	}
+	l.box.Flush(l.conn, func() bool { return clock.Now()-decided < limit })
 }
 
 // late gives an offer back that was never written.
--- /dev/null
+++ b/internal/dueheap/timers.go
@@ -0,0 +1,37 @@
+package dueheap
+
+import "time"
+
+// Timer is a thing to do when its time comes.
+type Timer = Item[func()]
+
+// Timers are things to do, each when its time comes. What no longer matters is cancelled at once, so that neither the
+// heap nor the wake-ups grow with what has long ended. Its zero value is empty. It is not safe for concurrent use.
+type Timers struct{ heap Heap[func()] }
+
+// After has do called by the first Fire at or after the given time.
+func (t *Timers) After(at time.Duration, do func()) *Timer {
+	i := &Timer{Value: do}
+	t.heap.Set(i, at)
+	return i
+}
+
+// Cancel takes a timer out; nil is none.
+func (t *Timers) Cancel(i *Timer) {
+	if i != nil {
+		t.heap.Remove(i)
+	}
+}
+
+// Fire does what is due, also what that makes due.
+func (t *Timers) Fire(now time.Duration) {
+	for i := t.heap.Due(now); i != nil; i = t.heap.Due(now) {
+		i.Value()
+	}
+}
+
+// Next is the time of the first timer; ok is false where there is none.
+func (t *Timers) Next() (at time.Duration, ok bool) { return t.heap.Next() }
+
+// Len is how many timers wait.
+func (t *Timers) Len() int { return t.heap.Len() }
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"flaxshelf.example/flaxshelf"
+	"flaxshelf.example/flaxshelf/internal/dueheap"
 )
 
 type phase int
@@ -32,8 +33,8 @@
 	sent   Time
 	limit  time.Duration
 	phase  phase
-	stop   bool   // a stop has been sent
-	timer  *timer // its time-out, of the phase that it is in
+	stop   bool           // a stop has been sent
+	timer  *dueheap.Timer // its time-out, of the phase that it is in
 }
 
 // offer carries out the module's choice.
@@ -58,7 +59,7 @@
 	case n.up:
 		c.send(a)
 	default:
-		a.timer = c.after(c.now+max(c.cfg.Module.ConnectTimeout, time.Millisecond), func() {
+		a.timer = c.timers.After(c.now+max(c.cfg.Module.ConnectTimeout, time.Millisecond), func() {
 			if a.phase == connecting {
 				c.end(a, flaxshelf.Unreachable, flaxshelf.Untold, flaxshelf.Load{})
 			}
@@ -68,13 +69,13 @@
 
 func (c *Core) send(a *attempt) {
 	left := a.sent + a.limit - c.now
-	c.cancel(a.timer)
+	c.timers.Cancel(a.timer)
 	switch {
 	case left <= 0:
 		c.end(a, flaxshelf.NotSent, flaxshelf.Untold, flaxshelf.Load{})
 		return
 	case c.fence.up(): // a drain of this node may be among what has not been read yet
-		a.timer = c.after(c.now+max(c.cfg.Module.Tick, time.Millisecond), func() {
+		a.timer = c.timers.After(c.now+max(c.cfg.Module.Tick, time.Millisecond), func() {
 			if a.phase == connecting && a.node.up {
 				c.send(a)
 			}
@@ -85,7 +86,7 @@
 	c.emit(SendOffer{Node: a.node.entry.ID, Attempt: a.id, Job: a.job.id, Ask: a.job.ask, Spec: a.job.spec,
 		Submitted: a.job.taken, ValidFor: left})
 	c.changed(a.job)
-	a.timer = c.after(c.now+left, func() {
+	a.timer = c.timers.After(c.now+left, func() {
 		if a.phase == offered {
 			c.stop(a)
 			c.end(a, flaxshelf.TimedOut, flaxshelf.Untold, flaxshelf.Load{})
@@ -141,7 +142,7 @@
 
 func (c *Core) accept(a *attempt, load flaxshelf.Load) {
 	a.phase = accepted
-	c.cancel(a.timer)
+	c.timers.Cancel(a.timer)
 	j := a.job
 	if load.Told {
 		c.tell(flaxshelf.Probed{Machine: a.node.entry.ID, Load: load})
@@ -258,7 +259,7 @@
 	j, was := a.job, a.phase
 	placed := was >= accepted && (!c.cfg.Module.RunsWhenPlaced || was == running)
 	a.phase = over
-	c.cancel(a.timer)
+	c.timers.Cancel(a.timer)
 	delete(c.attempts, a.id)
 	delete(a.node.live, a.id)
 	if j.live == a {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -36,7 +36,7 @@
 	nLive    int    // jobs that have not ended
 	nEnded   int
 	watches  watches
-	timers   dueheap.Heap[func()]
+	timers   dueheap.Timers
 	recovery recovery
 	fence    fence
 	draining bool
@@ -85,7 +85,7 @@
 		c.take(in)
 	}
 	if !c.fence.up() {
-		c.fire()
+		c.timers.Fire(c.now)
 		c.checkRecovery()
 		c.stepModule()
 	}
@@ -232,28 +232,3 @@
 	case flaxshelf.Tell: // only where Config.CanMessage, which no deployment of the program sets
 	}
 }
-
-// ---- Timers.
-
-// timer is a thing to do when its time comes. What no longer matters is cancelled at once, so that neither the heap nor
-// the wake-ups grow with what has long ended.
-type timer = dueheap.Item[func()]
-
-func (c *Core) after(at Time, do func()) *timer {
-	t := &timer{Value: do}
-	c.timers.Set(t, at)
-	return t
-}
-
-// cancel takes a timer out; nil is none.
-func (c *Core) cancel(t *timer) {
-	if t != nil {
-		c.timers.Remove(t)
-	}
-}
-
-func (c *Core) fire() {
-	for t := c.timers.Due(c.now); t != nil; t = c.timers.Due(c.now) {
-		t.Value()
-	}
-}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"flaxshelf.example/flaxshelf"
+	"flaxshelf.example/flaxshelf/internal/dueheap"
 )
 
 // backoffFirst and backoffMost bound how long a job that lost its node waits before it is asked anew. An
@@ -38,9 +39,9 @@
 	started, ended      Time
 	rev                 uint64
 	aliases             []string
-	entered             bool   // its array has let it go, or it has none
-	overdue, deadline   *timer // of the open ask; of the job
-	later               *timer // its start time or the end of its backoff
+	entered             bool           // its array has let it go, or it has none
+	overdue, deadline   *dueheap.Timer // of the open ask; of the job
+	later               *dueheap.Timer // its start time or the end of its backoff
 }
 
 func (j *job) held() bool { return j.state == QueuedHeld || j.state == RequeuedHeld }
@@ -132,7 +133,7 @@
 // answerLate answers for the module where it was kept from answering, as by a stall.
 func (c *Core) answerLate(j *job) {
 	due := j.due
-	j.overdue = c.after(due+c.cfg.Module.AnswerSlack/2, func() {
+	j.overdue = c.timers.After(due+c.cfg.Module.AnswerSlack/2, func() {
 		if !j.open || j.due != due || c.cfg.Without.Answer {
 			return
 		}
@@ -189,7 +190,7 @@
 		return
 	}
 	j.open = false
-	c.cancel(j.overdue)
+	c.timers.Cancel(j.overdue)
 	c.nOpen--
 	j.outcome = o
 	if o == Placed {
@@ -254,7 +255,7 @@
 	}
 	c.changed(j)
 	ask := j.ask
-	j.later = c.after(c.now+wait, func() {
+	j.later = c.timers.After(c.now+wait, func() {
 		if j.state == Requeued && j.sub == SubBackoff && j.ask == ask {
 			j.note = ""
 			c.place(j)
@@ -273,8 +274,8 @@
 	}
 	j.state, j.sub, j.note, j.ended = s, sub, note, c.now
 	delete(c.asks, j.askID())
-	c.cancel(j.deadline)
-	c.cancel(j.later)
+	c.timers.Cancel(j.deadline)
+	c.timers.Cancel(j.later)
 	c.nLive--
 	c.nEnded++
 	c.finished = append(c.finished, j)
