--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -20,14 +20,15 @@
 
 // attempt is one offer of a task to a node, or a task that stands there.
 type attempt struct {
-	task  *task
-	n     int // as the module counts
-	node  *node
-	link  *link // that its set-up went on; nil where it came by Held
-	phase phase
-	sent  Time
-	limit time.Duration
-	timer *dueheap.Timer
+	task     *task
+	n        int // as the module counts
+	node     *node
+	link     *link // that its set-up went on; nil where it came by Held
+	phase    phase
+	sent     Time
+	limit    time.Duration
+	timer    *dueheap.Timer
+	unlisted bool // handed over on a node that no list had named
 }
 
 // offer carries out the module's choice.
@@ -232,6 +233,9 @@
 		a.link.open--
 		c.count(v)
 	}
+	if a.unlisted {
+		c.figures.Unlisted--
+	}
 	if was >= standing {
 		c.figures.Standing--
 		c.figures.Ended++
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -303,17 +303,19 @@
 			}
 		}
 	}
-	for i, m := range in.Machines {
-		if m.State != flaxshelf.Out {
-			c.replaced(m.ID, in.Addrs[i])
-		}
-	}
+	c.replaced(in)
 }
 
 // replaced: a node at the address of another proves that the other is gone.
-func (c *Core) replaced(name, addr string) {
+func (c *Core) replaced(in Listed) {
+	at := make(map[string]string, len(in.Machines)) // who is at an address by this word
+	for i, m := range in.Machines {
+		if m.State != flaxshelf.Out && in.Addrs[i] != "" {
+			at[in.Addrs[i]] = m.ID
+		}
+	}
 	for _, n := range c.sortedNodes() {
-		if n.entry.ID != name && n.addr == addr && addr != "" {
+		if name, used := at[n.addr]; used && name != n.entry.ID {
 			c.gone(n)
 		}
 	}
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -78,19 +78,38 @@
 	if c.owners[in.Conn] == nil {
 		return
 	}
-	c.door.Used(c.now, connlimit.ID(in.Conn))
+	// Risk covered: bad clients may hand over tasks without end, and name nodes that are none.
+	if c.figures.Standing >= maxStanding || c.figures.Unlisted >= maxUnlisted {
+		return
+	}
+	unlisted := false
+	if n := c.nodes[in.Node]; n == nil || !n.listed {
+		unlisted = true
+	} else {
+		c.door.Used(c.now, connlimit.ID(in.Conn))
+		c.showed(in.Conn)
+	}
 	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, attempts: 1}
 	n := c.node(in.Node)
-	t.live = &attempt{task: t, node: n, sent: c.now, phase: standing}
+	t.live = &attempt{task: t, node: n, sent: c.now, phase: standing, unlisted: unlisted}
+	if unlisted {
+		c.figures.Unlisted++
+	}
 	c.tasks[t.id] = t
 	n.live[t.id] = t.live
 	c.figures.Standing++
 	c.figures.Retold++
 	c.tell(flaxshelf.Running{Task: t.spec, Machine: in.Node})
-	c.showed(in.Conn)
 	c.keepLink(n)
 }
 
+const (
+	// maxUnlisted bounds the tasks handed over that stand on nodes that no list had named then; more are not taken over.
+	maxUnlisted = 1024
+	// maxStanding bounds what stands before no more is taken over.
+	maxStanding = 1 << 14
+)
+
 // answer gives the final answer that the module has decided, at once.
 func (c *Core) answer(id string, cause int) {
 	t := c.tasks[id]
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -203,7 +203,7 @@
 // Figures are what a core has and has done.
 type Figures struct {
 	// Now.
-	Open, Standing, Owners, Nodes, Links int
+	Open, Standing, Unlisted, Owners, Nodes, Links int
 	// Final answers, set-ups taken back, offers made.
 	Placed, Refused, Failed, GivenUp, Offers uint64
 	// Tasks handed over, and standing tasks that are over: by their node's word and why, or without it.
--- a/internal/codec/ownerline/line.go
+++ b/internal/codec/ownerline/line.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"strconv"
@@ -120,8 +119,7 @@
 			return false
 		}
 	}
-	_, err := hex.DecodeString(id)
-	return err == nil
+	return true
 }
 
 // Append encodes a message without fields behind dst. The error is for a description that no JSON string can hold.
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -95,9 +95,7 @@
 // Closed implements transport.Peer.
 func (p *ownerPeer) Closed(_ *transport.Conn, _ error) {
 	<-p.s.slots
-	if in := (asks.Closed{Conn: p.id}); !p.s.offer(message{in: []asks.Input{in}}) {
-		go p.s.pass(in)
-	}
+	p.s.tell(asks.Closed{Conn: p.id})
 }
 
 // nodePeer reads what a node says on one link. It belongs to the loop.
@@ -147,7 +145,5 @@
 // Closed implements transport.Peer.
 func (p *nodePeer) Closed(c *transport.Conn, why error) {
 	p.s.opt.Log.Debug().Err(why).Str("node", c.Remote()).Msg("the connection to the node has closed")
-	if in := (asks.Down{Link: p.link}); !p.s.offer(message{in: []asks.Input{in}}) {
-		go p.s.pass(in)
-	}
+	p.s.tell(asks.Down{Link: p.link})
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,8 +7,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"reflect"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -63,6 +65,10 @@
 	cfg    atomic.Pointer[platformfront.Config]
 	conns  atomic.Uint64 // owners' connections so far
 	slots  chan struct{} // one for each owner's connection
+	dials  sync.WaitGroup
+	passes sync.WaitGroup // of messages that found the box full
+	life   context.Context
+	end    context.CancelFunc
 	cpu    time.Duration
 
 	core   *asks.Core
@@ -93,6 +99,8 @@
 		slots:  make(chan struct{}, cfg.Limits.Sockets*3/4),
 		owners: map[asks.Conn]*peer{}, links: map[asks.Link]*peer{}, last: cfg.Last}
 	s.cfg.Store(cfg)
+	s.life, s.end = context.WithCancel(context.Background())
+	defer s.end()
 	core := asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, Idle: cfg.Idle, MaxOpen: maxOpen,
 		Door: connlimit.Limits{Most: cfg.Limits.Sockets * 5 / 8, Silent: mute, Spare: spare, Wrong: 3, Open: maxOpen / 8}}
 	if opt.Tap != "" {
@@ -182,20 +190,26 @@
 
 // reload reads the configuration again. A broken file changes nothing.
 func (s *Scheduler) reload() []asks.Input {
-	cfg, err := platformfront.ReadConfig(s.opt.Config)
+	file, err := platformfront.ReadConfig(s.opt.Config)
 	if err != nil {
 		s.opt.Log.Error().Err(err).Msg("the new configuration can't be used, the old one stays")
 		return nil
 	}
 	old := s.cfg.Load()
+	// Risk covered: the core has the settings of its start, and other ones would give classes and kinds other numbers.
+	cfg, same := *old, reflect.DeepEqual(file.Module, old.Module)
+	cfg.Feed = file.Feed
+	if !same {
+		s.opt.Log.Error().Msg("the new configuration has other settings, those of the start stay; its feed is followed")
+	}
 	var all []asks.Input
-	for _, e := range cfg.Known {
-		if e.N > s.last {
+	for _, e := range file.Known {
+		if same && e.N > s.last {
 			s.last = e.N
 			all = append(all, e.Listed)
 		}
 	}
-	s.cfg.Store(cfg)
+	s.cfg.Store(&cfg)
 	s.opt.Log.Info().Str("feed", cfg.Feed).Str("former", old.Feed).Uint64("event", s.last).Msg("configuration read again")
 	s.feed.ask(cfg.Feed, s.last)
 	return all
@@ -245,8 +259,13 @@
 // late gives offers back that were never written; it may be called by the owner itself.
 func (s *Scheduler) late(link asks.Link, task string) {
 	in := asks.Unsent{Link: link, Task: task}
+	s.tell(in)
+}
+
+// tell is for word that must not be lost, from loops and from the owner itself: where the box is full it waits aside.
+func (s *Scheduler) tell(in asks.Input) {
 	if !s.offer(message{in: []asks.Input{in}}) {
-		go s.pass(in)
+		s.passes.Go(func() { s.pass(in) })
 	}
 }
 
@@ -321,13 +340,13 @@
 // dial connects to a node, off the loop.
 func (s *Scheduler) dial(e asks.Dial) {
 	timeout := max(s.cfg.Load().Module.ConnectTimeout, time.Millisecond)
-	go func() {
-		_, err := s.dialer.Dial(context.Background(), e.Addr, timeout, &nodePeer{s: s, link: e.Link})
+	s.dials.Go(func() {
+		_, err := s.dialer.Dial(s.life, e.Addr, timeout, &nodePeer{s: s, link: e.Link})
 		if err != nil {
 			s.opt.Log.Debug().Err(err).Str("node", e.Node).Msg("no connection to the node")
 			s.pass(asks.Down{Link: e.Link, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 		}
-	}()
+	})
 }
 
 // admit waits for a slot: what connects beyond them waits in the listener's queue, so that owners can't cost us a node.
@@ -353,8 +372,11 @@
 
 func (s *Scheduler) close() error {
 	s.accept.Stop()
+	s.end()
+	s.dials.Wait()
 	s.feed.stop()
 	err := s.dialer.Stop()
+	s.passes.Wait()
 	if s.tap != nil {
 		err = errors.Join(err, s.tap.Close())
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -346,3 +346,66 @@
 	_ = c.Close()
 	<-closed
 }
+
+// Parts of an outbox that are late at their write are dropped and told, what stands between them is written in order;
+// without a connection all of them are late.
+func TestOutboxDropsLateParts(t *testing.T) {
+	closed := make(chan error, 1)
+	s := listen(t, Options{}, func(*Conn) Peer { return &echo{closed: closed} })
+	d, err := NewDialer(Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Stop()
+	got := make(chan string, 10)
+	c, err := d.Dial(context.Background(), s.Addr(), time.Second, &collect{got})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, inTime := range []bool{true, false} {
+		var o Outbox
+		late := make(chan string, 10)
+		put := func(text string, timed bool) {
+			encode := func(b []byte) ([]byte, error) { return append(b, text+"\n"...), nil }
+			if !timed {
+				_ = o.Put(encode)
+			} else if err := o.PutTimed(encode, func() { late <- text }); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put("a", false)
+		put("b", true)
+		put("c", true)
+		put("d", false)
+		o.Flush(c, func() bool { return inTime })
+		want, dropped := "abcd", 0
+		if !inTime {
+			want, dropped = "ad", 2
+		}
+		for _, w := range want {
+			if line := <-got; line != string(w) {
+				t.Errorf("in time %v: %q came, want %q", inTime, line, w)
+			}
+		}
+		if len(late) != dropped || !o.Empty() {
+			t.Errorf("in time %v: %d told late", inTime, len(late))
+		}
+		put("e", true)
+		if o.Flush(nil, func() bool { return true }); len(late) != dropped+1 {
+			t.Error("without a connection nothing was told late")
+		}
+	}
+}
+
+// collect passes on each line that comes.
+type collect struct{ got chan string }
+
+func (p *collect) Receive(_ *Conn, in []byte) (int, error) {
+	i := strings.IndexByte(string(in), '\n')
+	if i >= 0 {
+		p.got <- string(in[:i])
+	}
+	return i + 1, nil
+}
+
+func (p *collect) Closed(*Conn, error) {}
