--- a/bars.go
+++ b/bars.go
@@ -28,12 +28,13 @@
 	LateRoom                   // the list's room less what it may lack
 	Waits                      // tasks that can still start in time go first
 	Oldest                     // of these the one that came first; without it, the last
+	Moves                      // tasks that are served badly are moved
 	bars
 )
 
 var barNames = [bars]string{"drain", "repeat", "spread", "cold", "answer", "tried", "failing", "class", "refused",
 	"rushed", "room", "needed", "strained", "contradicted", "homes", "gone-binds", "proved-binds", "probe", "late-room",
-	"waits", "oldest"}
+	"waits", "oldest", "moves"}
 
 // Bars lists all.
 func Bars() []Bar {
--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -48,7 +48,7 @@
 	none[Answer](w)
 	none[Cut](w)
 	w.step(Heard{Link: o.Link, Say: SaysRelease, Task: id(7), Cause: CauseGivenUp})
-	if e := one[Over](w); e != (Over{1, id(7), CauseGivenUp}) {
+	if e := one[Over](w); e != (Over{1, id(7), CauseGivenUp, false}) {
 		t.Errorf("%+v", e)
 	}
 	w.step(Heard{Link: o.Link, Say: SaysRelease, Task: id(7), Cause: CauseGivenUp})
@@ -95,7 +95,7 @@
 			w.step(Heard{Link: o.Link, Say: SaysRelease, Task: id(7), Cause: c.cause})
 		}
 		none[Offer](w)
-		if e := one[Over](w); e != (Over{1, id(7), c.want}) {
+		if e := one[Over](w); e != (Over{1, id(7), c.want, false}) {
 			t.Errorf("class %d, cause %d: %+v", c.class, c.cause, e)
 		}
 		if f := w.c.Figures(); f.Open != 0 || len(w.c.tasks) != 0 {
@@ -153,7 +153,7 @@
 	w.nodes("n")
 	w.step(w.ask(1, 7, 0), w.ask(1, 7, 0), w.ask(2, 7, 0))
 	o := one[Offer](w)
-	if e := one[Over](w); e != (Over{2, id(7), CauseReset}) {
+	if e := one[Over](w); e != (Over{2, id(7), CauseReset, false}) {
 		t.Errorf("%+v", e)
 	}
 	w.step(Heard{Link: o.Link, Say: SaysAnswer, Task: id(7), Description: "d"})
@@ -175,7 +175,34 @@
 		t.Errorf("%+v", r)
 	}
 	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(7), Cause: CauseReset, Reason: flaxshelf.Evicted})
-	if e := one[Over](w); e != (Over{1, id(7), CauseReset}) {
+	if e := one[Over](w); e != (Over{1, id(7), CauseReset, false}) {
+		t.Errorf("%+v", e)
+	}
+}
+
+// A task that the module moves is cut at its node, and its owner is told by a move: a release would have it take the task
+// for lost, and wait before it asks again. The node's word ends it; the owner hears nothing more.
+func TestMoves(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n1", "n2", "n3", "n4")
+	o := w.place(1, 7, 0)
+	for range 3 {
+		w.now += time.Second
+		w.step(Heard{Link: o.Link, Say: SaysNote, Task: id(7), Kind: flaxshelf.Served, Amount: 0.1})
+		if len(find[Over](w)) > 0 {
+			break
+		}
+	}
+	if e := one[Over](w); e != (Over{Conn: 1, Task: id(7), Move: true}) {
+		t.Errorf("%+v", e)
+	}
+	if cut := one[Cut](w); cut != (Cut{o.Link, id(7), CauseCancelled}) {
+		t.Errorf("%+v", cut)
+	}
+	w.step(Heard{Link: o.Link, Say: SaysRelease, Task: id(7), Cause: CauseCancelled})
+	none[Over](w)
+	if e := told[flaxshelf.Ended](w); len(e) != 1 || e[0].Verdict != flaxshelf.Withdrawn {
 		t.Errorf("%+v", e)
 	}
 }
@@ -457,7 +484,7 @@
 		w.step(Opened{Conn: 1, Host: "h"})
 		w.nodes("n")
 		w.step(w.ask(1, 7, 0), w.ask(1, 8, 0), w.ask(1, 9, 0))
-		if e := one[Over](w); e != (Over{1, id(9), CauseFull}) || len(told[flaxshelf.Place](w)) != 2 {
+		if e := one[Over](w); e != (Over{1, id(9), CauseFull, false}) || len(told[flaxshelf.Place](w)) != 2 {
 			t.Errorf("%s: %+v", name, e)
 		}
 	}
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -168,7 +168,7 @@
 		c.answer(a.Task, CauseReset)
 	case flaxshelf.Move:
 		if t := c.tasks[a.Task]; t != nil && t.live != nil && t.live.phase == standing {
-			c.say(t, CauseCancelled)
+			c.sayOver(t, Over{Task: t.id, Move: true})
 			c.endByOwner(t)
 		}
 	case flaxshelf.Wake:
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -53,13 +53,13 @@
 	}
 	if old := c.tasks[in.Task.ID]; old != nil {
 		if !old.open || old.conn != in.Conn {
-			c.emit(Over{in.Conn, in.Task.ID, CauseReset})
+			c.emit(Over{in.Conn, in.Task.ID, CauseReset, false})
 		}
 		return
 	}
 	if c.figures.Open >= c.cfg.MaxOpen || !c.door.Open(connlimit.ID(in.Conn)) {
 		c.figures.TooMany++
-		c.emit(Over{in.Conn, in.Task.ID, CauseFull}) // nothing of it has run
+		c.emit(Over{in.Conn, in.Task.ID, CauseFull, false}) // nothing of it has run
 		return
 	}
 	t := &task{id: in.Task.ID, spec: in.Task, class: in.Class, idem: in.Idem, detail: in.Description, conn: in.Conn,
@@ -122,7 +122,7 @@
 	} else {
 		c.figures.Failed++
 	}
-	c.emit(Over{t.conn, t.id, cause})
+	c.emit(Over{t.conn, t.id, cause, false})
 	c.forget(t)
 }
 
@@ -215,8 +215,9 @@
 
 // say tells an owner that its standing task is over: on the connection of its set-up, else on another one that is surely
 // an owner's, else on the next one that shows itself to be.
-func (c *Core) say(t *task, cause int) {
-	e := Over{Task: t.id, Cause: cause}
+func (c *Core) say(t *task, cause int) { c.sayOver(t, Over{Task: t.id, Cause: cause}) }
+
+func (c *Core) sayOver(t *task, e Over) {
 	o := c.owners[t.conn]
 	if o == nil {
 		o = c.other()
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -153,11 +153,13 @@
 		Conn              Conn
 		Task, Description string
 	}
-	// Over tells an owner that its set-up was refused or failed, or that its standing task is over.
+	// Over tells an owner that its set-up was refused or failed, or that its standing task is over: by a release with
+	// Cause, or by a move, after which the owner brings the task again.
 	Over struct {
 		Conn  Conn
 		Task  string
 		Cause int
+		Move  bool
 	}
 	// Pong answers a test.
 	Pong struct {
--- a/internal/front/platformfront/owner.go
+++ b/internal/front/platformfront/owner.go
@@ -132,6 +132,9 @@
 
 // Over encodes the word that a set-up was refused or failed, or that a task is over.
 func Over(dst []byte, e *asks.Over) ([]byte, error) {
+	if e.Move {
+		return ownerline.Append(dst, &ownerline.Message{Type: ownerline.Move, ID: e.Task, Cause: -1})
+	}
 	return ownerline.Append(dst, &ownerline.Message{Type: ownerline.Release, ID: e.Task, Cause: e.Cause})
 }
 
--- a/internal/front/platformfront/platformfront_test.go
+++ b/internal/front/platformfront/platformfront_test.go
@@ -183,3 +183,15 @@
 		t.Errorf("%+v, %v", m, err)
 	}
 }
+
+// A standing task's end is a release with its cause, but for one that is moved.
+func TestOver(t *testing.T) {
+	for want, e := range map[string]asks.Over{
+		`{"type":"release","id":"0000000000000007","fields":{},"cause":31}`: {Task: "0000000000000007", Cause: 31},
+		`{"type":"move","id":"0000000000000007","fields":{}}`:               {Task: "0000000000000007", Move: true},
+	} {
+		if got, err := Over(nil, &e); err != nil || string(got) != want+"\n" {
+			t.Errorf("%s, %v, want %s", got, err, want)
+		}
+	}
+}
--- a/internal/lab/former/placer.go
+++ b/internal/lab/former/placer.go
@@ -379,10 +379,13 @@
 }
 
 func (p *Placer) note(e flaxshelf.Note) {
-	_, a := p.attempt(e.Task, e.Attempt)
+	t, a := p.attempt(e.Task, e.Attempt)
 	if a == nil || !a.live {
 		return
 	}
+	if e.Kind == flaxshelf.Served {
+		p.relocate(t, a, 1-e.Amount)
+	}
 	switch {
 	case e.Kind == flaxshelf.Served && e.Amount < 0.95:
 		p.strain(a.m, strainBar, 1-e.Amount)
@@ -391,6 +394,41 @@
 	}
 }
 
+// relocate is later than the text: see the module's.
+func (p *Placer) relocate(t *task, a *attempt, lack float64) {
+	if lack < 0.5 {
+		a.badAt = 0
+		return
+	}
+	if p.now-a.badAt > strainBar {
+		a.badSince = p.now
+	}
+	a.badAt = p.now
+	life, c := p.meanLife(t.Class), t.class
+	gain := time.Duration((lack - p.cfg.Prices.Moves) * float64(life))
+	cost := 2*c.Aim + time.Duration(p.cfg.Prices.Moves*c.StartSeconds*float64(time.Second))
+	if p.now-a.badSince < strainBar/2 || gain < cost || a.moving || c == &p.unknown {
+		return
+	}
+	all, good := 0, 0
+	for _, m := range p.order {
+		if p.now < m.record(t.Class).bar || p.now < m.fullBar {
+			return
+		}
+		if !m.listed || m.State != flaxshelf.In || m.Kind < 0 || c.Kind >= 0 && c.Kind != m.Kind || !p.fits(t, m) {
+			continue
+		}
+		all++
+		if p.now >= m.strained && p.now >= m.bar && !p.cold(m) {
+			good++
+		}
+	}
+	if good >= max(several, all/2) {
+		a.moving = true
+		p.do(flaxshelf.Move{Task: t.ID})
+	}
+}
+
 // strain is later than the text: see the module's.
 func (p *Placer) strain(m *machine, lasts time.Duration, lack float64) {
 	m.strained, m.lack = max(m.strained, p.now+lasts), lack
--- a/internal/lab/former/state.go
+++ b/internal/lab/former/state.go
@@ -78,6 +78,9 @@
 	done    bool
 	placed  bool
 	history *bind
+	// Later than the text, see the module's relocate.
+	moving          bool
+	badAt, badSince flaxshelf.Time
 }
 
 type task struct {
--- a/placer.go
+++ b/placer.go
@@ -36,6 +36,7 @@
 	strainLoad  = 3.0  // a machine that serves half of full service counts as so many halves fuller
 	shortMemory = 0.92 // share of a machine's memory in use beyond which it is short
 	memoryLack  = 0.3  // short of full service, where memory is short or tasks were put out
+	badLack     = 0.5  // a task that lacks so much of full service
 	overMean    = 0.3  // a reported load so far over the mean of its peers contradicts the replay
 	reportFresh = 3 * time.Second
 	holdStep    = 40 * time.Millisecond // how often a held task is looked at again
@@ -405,10 +406,13 @@
 }
 
 func (p *Placer) note(e Note) {
-	_, a := p.attempt(e.Task, e.Attempt)
+	t, a := p.attempt(e.Task, e.Attempt)
 	if a == nil || !a.live {
 		return
 	}
+	if e.Kind == Served {
+		p.relocate(t, a, 1-e.Amount)
+	}
 	switch {
 	case e.Kind == Served && e.Amount < 0.95:
 		p.strain(a.m, strainBar, 1-e.Amount)
@@ -417,19 +421,42 @@
 	}
 }
 
+// relocate has a task stopped that is served badly, so that its owner brings it again: where what it lacks
+// by the end of a mean life is worth more than a move and two starts, and half of the machines are not known
+// to be worse. Not while its class fails or a machine refuses anywhere: the new start may be lost. It could
+// hurt where only other schedulers' tasks know that the rest is as bad.
+func (p *Placer) relocate(t *task, a *attempt, lack float64) {
+	if lack < badLack {
+		a.badAt = 0
+		return
+	}
+	if p.now-a.badAt > strainBar {
+		a.badSince = p.now
+	}
+	a.badAt = p.now
+	life, c, x := p.meanLife(t.Class), t.class, &p.index
+	gain := time.Duration((lack - p.cfg.Prices.Moves) * float64(life))
+	cost := 2*c.Aim + time.Duration(p.cfg.Prices.Moves*c.StartSeconds*float64(time.Second))
+	if p.now-a.badSince < strainBar/2 || gain < cost || a.moving || c == &p.unknown || p.without[Moves] {
+		return
+	}
+	p.refresh()
+	good := p.kindsFor(t)
+	least := max(several, good.Count()/2)
+	for _, bad := range []*bitset.BitSet{x.strained, x.failing, x.cold} {
+		good.InPlaceDifference(bad)
+	}
+	if a.moving = good.Count() >= least && x.classes[t.Class].None() && x.refusing.None(); a.moving {
+		p.do(Move{Task: t.ID})
+	}
+}
+
 // strain has what m lacks of full service count as load there for a while, see others.
 func (p *Placer) strain(m *machine, lasts time.Duration, lack float64) {
 	m.strained, m.lack = max(m.strained, p.now+lasts), lack
 	p.touch(m)
 }
 
-func (p *Placer) report(m *machine, l Load) {
-	if l.Told {
-		m.load, m.loadAt = l, p.now
-		p.touch(m)
-	}
-}
-
 // learnLife ends a life of t's class; one cut short counts as not ended.
 func (p *Placer) learnLife(t *task, a *attempt, v Verdict) {
 	if l := p.life(t.Class); a.placed && l != nil {
@@ -459,15 +486,6 @@
 	return min(longest, 5*time.Minute)
 }
 
-// size is the share of machine m that task t asks for: the larger of cores and memory.
-func (p *Placer) size(t *task, m *machine) float64 {
-	if m.Kind < 0 {
-		return 0
-	}
-	k := p.cfg.Kinds[m.Kind]
-	return max(t.Cores/k.Cores, t.Memory/k.Memory)
-}
-
 // ---- Bars.
 
 // choose picks a machine for t: hard bars, soft bars, vote. Nil where the hard bars leave none.
@@ -514,7 +532,7 @@
 	for c := range x.classes {
 		put(x.classes[c], i, until(m.classes[c].bar))
 	}
-	until(m.strained)
+	put(x.strained, i, until(m.strained))
 	put(x.refusing, i, until(m.fullBar))
 	put(x.rushed, i, m.window > 0 && m.waiting >= m.window)
 	x.told[i] = p.told(m)
@@ -523,9 +541,8 @@
 	x.again(m, next)
 }
 
-// allowed is the hard bars: listed, in service, of a kind that serves the class and would take the task
-// empty, and the four below.
-func (p *Placer) allowed(t *task) *bitset.BitSet {
+// kindsFor is what is listed, in service, of a kind that serves t's class and would take it empty.
+func (p *Placer) kindsFor(t *task) *bitset.BitSet {
 	x, c := &p.index, t.class
 	left := x.left.ClearAll()
 	for k := range x.kinds {
@@ -533,6 +550,12 @@
 			left.InPlaceUnion(x.kinds[k])
 		}
 	}
+	return left
+}
+
+// allowed is the hard bars: those of kindsFor, and the four below.
+func (p *Placer) allowed(t *task) *bitset.BitSet {
+	x, left := &p.index, p.kindsFor(t)
 	p.inGroup(t, left)
 	p.spreadLeft(t, left)
 	both(left, x.cold, func(i int) {
@@ -742,21 +765,6 @@
 	return over
 }
 
-// told is the load that a machine's last report tells; 0 without a fresh one.
-func (p *Placer) told(m *machine) float64 {
-	if !m.load.Told || p.now-m.loadAt > reportFresh || m.Kind < 0 {
-		return 0
-	}
-	k, load := p.cfg.Kinds[m.Kind], 0.0
-	if m.load.HasCores {
-		load = max(load, 1-m.load.FreeCores/k.Cores)
-	}
-	if m.load.HasMemory {
-		load = max(load, 1-m.load.FreeMemory/k.Memory)
-	}
-	return load
-}
-
 // inUse names the machines that suffice for what the whole fleet is asked for now, filled to fleetFill, the
 // fullest by the list's word first: all schedulers share that order, and those left out empty the soonest.
 // The others drain, where the settings price machines in use. Could hurt where the fullest are the crowded
@@ -891,13 +899,6 @@
 	return p.order[live[p.least(live, votes)].i]
 }
 
-// replayed is a bind of the history in the vote in hand.
-type replayed struct {
-	n             int32 // the candidate
-	cores, memory float64
-	alive         uint64 // chance that the drawn life reaches to now, in 1<<53rds
-}
-
 // others is what m bears beside our binds, as a share of its kind: what others have asked by the list's
 // word, and what our tasks there lack of full service. It is an exception to the empty fleet of a run:
 // with few own binds most would tie at none, and a bar gives way when most machines serve badly. It could
@@ -916,15 +917,6 @@
 	return lack + max(0, cores/k.Cores, memory/k.Memory)
 }
 
-// asked is the share of m that all schedulers together have asked for, by the list's word.
-func (p *Placer) asked(m *machine) float64 {
-	k := p.cfg.Kinds[m.Kind]
-	return max((k.Cores-m.FreeCores)/k.Cores, (k.Memory-m.FreeMemory)/k.Memory)
-}
-
-// recent is the history that counts: at most maxHistory binds, also within a step that brings thousands.
-func (p *Placer) recent() []*bind { return p.history[max(0, len(p.history)-maxHistory):] }
-
 // alive is the chance that the life drawn for b has not ended: its hint where given, else exponential with
 // its class's mean life. Drawing once against it is the same as drawing the life.
 func (p *Placer) alive(b *bind) float64 {
--- a/state.go
+++ b/state.go
@@ -91,7 +91,10 @@
 	proved  bool // surely never ran
 	done    bool
 	placed  bool
+	moving  bool // it was asked to leave
 	history *bind
+	// When it was last told how well it is served, and since when all that was told was bad.
+	badAt, badSince Time
 }
 
 type task struct {
@@ -313,3 +316,51 @@
 func (t *task) mayHaveRun() bool {
 	return slices.ContainsFunc(t.attempts, func(a attempt) bool { return !a.proved })
 }
+
+// size is the share of machine m that task t asks for: the larger of cores and memory.
+func (p *Placer) size(t *task, m *machine) float64 {
+	if m.Kind < 0 {
+		return 0
+	}
+	k := p.cfg.Kinds[m.Kind]
+	return max(t.Cores/k.Cores, t.Memory/k.Memory)
+}
+
+// told is the load that a machine's last report tells; 0 without a fresh one.
+func (p *Placer) told(m *machine) float64 {
+	if !m.load.Told || p.now-m.loadAt > reportFresh || m.Kind < 0 {
+		return 0
+	}
+	k, load := p.cfg.Kinds[m.Kind], 0.0
+	if m.load.HasCores {
+		load = max(load, 1-m.load.FreeCores/k.Cores)
+	}
+	if m.load.HasMemory {
+		load = max(load, 1-m.load.FreeMemory/k.Memory)
+	}
+	return load
+}
+
+// asked is the share of m that all schedulers together have asked for, by the list's word.
+func (p *Placer) asked(m *machine) float64 {
+	k := p.cfg.Kinds[m.Kind]
+	return max((k.Cores-m.FreeCores)/k.Cores, (k.Memory-m.FreeMemory)/k.Memory)
+}
+
+// report keeps what a machine told of its load.
+func (p *Placer) report(m *machine, l Load) {
+	if l.Told {
+		m.load, m.loadAt = l, p.now
+		p.touch(m)
+	}
+}
+
+// recent is the history that counts: at most maxHistory binds, also within a step that brings thousands.
+func (p *Placer) recent() []*bind { return p.history[max(0, len(p.history)-maxHistory):] }
+
+// replayed is a bind of the history in the vote in hand.
+type replayed struct {
+	n             int32 // the candidate
+	cores, memory float64
+	alive         uint64 // chance that the drawn life reaches to now, in 1<<53rds
+}
