--- a/index.go
+++ b/index.go
@@ -23,11 +23,11 @@
 	due   dueheap.Heap[*machine]
 	shape int // grows when a machine comes, goes or changes its kind: rankings of homes are void then
 
-	cold, failing, strained, refusing, rushed, reporting *bitset.BitSet
-	kinds, classes                                       []*bitset.BitSet // in service by kind; failing by class
-	zones                                                map[string]*place
-	cells                                                map[int]*place
-	left, spare                                          *bitset.BitSet // in use by the choice in hand
+	cold, failing, strained, ours, refusing, rushed, reporting *bitset.BitSet
+	kinds, classes                                             []*bitset.BitSet // in service by kind; failing by class
+	zones                                                      map[string]*place
+	cells                                                      map[int]*place
+	left, spare                                                *bitset.BitSet // in use by the choice in hand
 
 	weights []float64 // of each kind, the smaller of its shares of the largest cores and memory
 	hashes  []uint64
@@ -106,7 +106,7 @@
 // size makes all sets and columns anew for n machines.
 func (x *index) size(n int) {
 	set := func() *bitset.BitSet { return bitset.MustNew(uint(n)) }
-	for _, s := range []**bitset.BitSet{&x.cold, &x.failing, &x.strained, &x.refusing, &x.rushed,
+	for _, s := range []**bitset.BitSet{&x.cold, &x.failing, &x.strained, &x.ours, &x.refusing, &x.rushed,
 		&x.reporting, &x.left, &x.spare, &x.seen} {
 		*s = set()
 	}
@@ -627,3 +627,12 @@
 		x.roomMemory[m.at] = x.baseMemory[m.at] - m.lateMemory
 	}
 }
+
+// weight is a machine's size among the kinds: the smaller of its shares of the largest cores and memory.
+func weight(k Kind, kinds []Kind) float64 {
+	var most Kind
+	for _, k := range kinds {
+		most.Cores, most.Memory = max(most.Cores, k.Cores), max(most.Memory, k.Memory)
+	}
+	return min(k.Cores/most.Cores, k.Memory/most.Memory)
+}
--- a/internal/lab/former/placer.go
+++ b/internal/lab/former/placer.go
@@ -419,7 +419,7 @@
 			continue
 		}
 		all++
-		if p.now >= m.strained && p.now >= m.bar && !p.cold(m) {
+		if p.now >= m.strained && p.now >= m.bar && !p.cold(m) && len(m.services) > 0 {
 			good++
 		}
 	}
@@ -738,6 +738,14 @@
 			home[m] = true
 		}
 	}
+	if n := 0; p.size(t, ranks[0]) > 0.15 { // later than the text: see homes in the module
+		for _, m := range ranks {
+			if p.now >= m.strained && n < 2 {
+				home[m] = true
+				n++
+			}
+		}
+	}
 	return home
 }
 
--- a/placer.go
+++ b/placer.go
@@ -36,6 +36,7 @@
 	strainLoad  = 3.0  // a machine that serves half of full service counts as so many halves fuller
 	shortMemory = 0.92 // share of a machine's memory in use beyond which it is short
 	memoryLack  = 0.3  // short of full service, where memory is short or tasks were put out
+	large       = 0.15 // a task that asks for so much of a machine is large
 	badLack     = 0.5  // a task that lacks so much of full service
 	overMean    = 0.3  // a reported load so far over the mean of its peers contradicts the replay
 	reportFresh = 3 * time.Second
@@ -422,9 +423,8 @@
 }
 
 // relocate has a task stopped that is served badly, so that its owner brings it again: where what it lacks
-// by the end of a mean life is worth more than a move and two starts, and half of the machines are not known
-// to be worse. Not while its class fails or a machine refuses anywhere: the new start may be lost. It could
-// hurt where only other schedulers' tasks know that the rest is as bad.
+// by the end of a mean life is worth more than a move and two starts, and half of the machines serve our tasks
+// well. Not while its class fails or a machine refuses anywhere: the new start may be lost.
 func (p *Placer) relocate(t *task, a *attempt, lack float64) {
 	if lack < badLack {
 		a.badAt = 0
@@ -446,6 +446,7 @@
 	for _, bad := range []*bitset.BitSet{x.strained, x.failing, x.cold} {
 		good.InPlaceDifference(bad)
 	}
+	good.InPlaceIntersection(x.ours) // of the others nothing is told
 	if a.moving = good.Count() >= least && x.classes[t.Class].None() && x.refusing.None(); a.moving {
 		p.do(Move{Task: t.ID})
 	}
@@ -533,6 +534,7 @@
 		put(x.classes[c], i, until(m.classes[c].bar))
 	}
 	put(x.strained, i, until(m.strained))
+	put(x.ours, i, len(m.services) > 0)
 	put(x.refusing, i, until(m.fullBar))
 	put(x.rushed, i, m.window > 0 && m.waiting >= m.window)
 	x.told[i] = p.told(m)
@@ -794,21 +796,31 @@
 // its first home. A hash ranks homes by size (weighted rendezvous hashing), the same at all schedulers,
 // and when one is barred only its own services move. The next ranks fill up to several, since a vote among
 // one is none. It could hurt where a flush empties the homes: the bar then only narrows the vote.
+//
+// A large task may also go to the best homes of those not known to serve badly: moved off one home, it came
+// back from the other (incident r0b92bb), and room is worth more to it than the program.
 func (p *Placer) homes(t *task, left *bitset.BitSet, n uint) []candidate {
 	x, s := &p.index, p.service(t.Service)
 	first, second := x.best(s, left)
-	list, found := x.candidates[:0], false
+	list := x.candidates[:0]
 	for _, i := range s.held {
 		if left.Test(uint(i)) {
 			list = append(list, candidate{i, x.rankKey(s, i)})
-			found = found || i == first
 		}
 	}
-	if !found {
-		list = append(list, candidate{first, x.rankKey(s, first)})
+	add := func(i int32) {
+		if i >= 0 && !slices.ContainsFunc(list, func(c candidate) bool { return c.i == i }) {
+			list = append(list, candidate{i, x.rankKey(s, i)})
+		}
+	}
+	add(first)
+	if len(list) < several {
+		add(second)
 	}
-	if len(list) < several && second >= 0 {
-		list = append(list, candidate{second, x.rankKey(s, second)})
+	if p.size(t, p.order[first]) > large {
+		first, second = x.best(s, left.Difference(x.strained))
+		add(first)
+		add(second)
 	}
 	if p.without[HomesBar] {
 		list = list[:0]
@@ -818,15 +830,6 @@
 	return list
 }
 
-// weight is a machine's size among the kinds: the smaller of its shares of the largest cores and memory.
-func weight(k Kind, kinds []Kind) float64 {
-	var most Kind
-	for _, k := range kinds {
-		most.Cores, most.Memory = max(most.Cores, k.Cores), max(most.Memory, k.Memory)
-	}
-	return min(k.Cores/most.Cores, k.Memory/most.Memory)
-}
-
 // rank orders the homes of a service: u is a hash of machine and service between 0 and 1<<53.
 func (k rankKey) rank() float64 { return math.Log(k.u/(1<<53)) / k.weight }
 
--- a/placer_test.go
+++ b/placer_test.go
@@ -924,3 +924,33 @@
 		}
 	}
 }
+
+// Both homes of a service serve badly: its large tasks may go to the two next that don't, small ones stay.
+func TestLargeTasksLeaveBadHomes(t *testing.T) {
+	for _, cores := range []float64{1, 16} {
+		p := start(t, config(), fleet(6))
+		task := p.newTask(Task{ID: "t", Service: "s", Cores: cores, Memory: 1})
+		names := func() (all []string) {
+			for _, c := range p.homes(task, whole(p), 6) {
+				all = append(all, p.order[c.i].ID)
+			}
+			return all
+		}
+		homes := names()
+		if len(homes) != several {
+			t.Fatalf("%v cores: homes %v", cores, homes)
+		}
+		for _, name := range homes {
+			p.strain(p.machine(name), strainBar, 1)
+		}
+		now, more := names(), 0
+		for _, name := range now {
+			if p.machine(name).strained == 0 {
+				more++
+			}
+		}
+		if want := map[float64]int{1: 0, 16: several}[cores]; more != want || !slices.Equal(now[:several], homes) {
+			t.Errorf("%v cores: %v where %v serve badly, want %d more", cores, now, homes, want)
+		}
+	}
+}
