Releases of what stands reach the node after a link broke: they went on the link that was gone

Cause: internal/asks/node.go, drop, left up set on the link, and attempt.go, cutStanding, took the attempt's former link for one that stands; the shell drops what is for a link that it does not know. The scheduler counted the task as ended after 1 s while the node ran it on, and a moved task would have run twice. Ruled out: the node's reading, the owner's release (both seen to come).

Change: a dropped link is not up.

--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -180,12 +180,30 @@
 	}
 }
 
+// What an owner ends after its link broke is released on the newer link.
+func TestOwnerEndsAfterBreak(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n")
+	first := w.place(1, 7, 0)
+	w.step(Down{Link: first.Link})
+	d := one[Dial](w)
+	w.step(Up{d.Link})
+	w.step(Release{1, id(7)})
+	if cut := one[Cut](w); cut != (Cut{d.Link, id(7), CauseCancelled}) {
+		t.Errorf("%+v", cut)
+	}
+}
+
 // A task that the module moves is cut at its node, and its owner is told by a move: a release would have it take the task
 // for lost, and wait before it asks again. The node's word ends it; the owner hears nothing more.
 func TestMoves(t *testing.T) {
 	w := newWorld(t)
 	w.step(Opened{Conn: 1, Host: "h"})
 	w.nodes("n1", "n2", "n3", "n4")
+	for i, n := range []string{"n1", "n2", "n3", "n4"} { // all are known to serve something well
+		w.step(Held{Conn: 1, Node: n, Task: w.ask(1, 20+i, 0).Task})
+	}
 	o := w.place(1, 7, 0)
 	for range 3 {
 		w.now += time.Second
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -119,9 +119,11 @@
 	c.drop(l)
 }
 
-// drop books that a link is gone. Set-ups that are out on it may have run.
+// drop books that a link is gone. Set-ups that are out on it may have run. Risk covered: a release of what stands that is
+// written on a link that is gone, and so never reaches the node.
 func (c *Core) drop(l *link) {
 	delete(c.links, l.id)
+	l.up = false
 	n := l.node
 	if n.cur == l {
 		n.cur = nil
