--- a/placer.go
+++ b/placer.go
@@ -423,8 +423,8 @@
 }
 
 // relocate has a task stopped that is served badly, so that its owner brings it again: where what it lacks
-// by the end of a mean life is worth more than a move and two starts, and half of the machines serve our tasks
-// well. Not while its class fails or a machine refuses anywhere: the new start may be lost.
+// by the end of a mean life is worth more than a move and two starts, and half of the machines serve tasks of
+// ours well. Not while its class fails or a machine refuses anywhere: the new start may be lost.
 func (p *Placer) relocate(t *task, a *attempt, lack float64) {
 	if lack < badLack {
 		a.badAt = 0
