Hand-overs prove no owner: bad clients that send one are closed, and hear no other's end

At fault: asks/owner.go, held, which booked the connection as used and as one on which ends may be told. Change: it stays a stranger; ends go there only where no task was placed on any connection. Test: TestHandOverProvesNothing, fails with the former text (the end goes to the hand-over's connection, nothing is closed); TestHandedOverOnADrainingNode has its owner test the scheduler, so that it stays.

--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -225,6 +225,25 @@
 	}
 }
 
+// A hand-over proves no owner: an end is told where a task was placed, and the connection goes like any that says nothing.
+func TestHandOverProvesNothing(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"}, Opened{Conn: 2, Host: "h"}, Opened{Conn: 3, Host: "h"})
+	w.nodes("n")
+	w.place(1, 7, 0)
+	w.place(2, 8, 0)
+	w.step(Held{Conn: 3, Node: "n", Task: w.ask(3, 9, 0).Task})
+	w.step(Closed{Conn: 1})
+	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(7), Cause: CauseGivenUp})
+	if e := one[Over](w); e.Conn != 2 {
+		t.Errorf("%+v", e)
+	}
+	w.pass(3 * time.Second)
+	if e := one[Expel](w); e.Conn != 3 {
+		t.Errorf("%+v", e)
+	}
+}
+
 // Tests are passed until the scheduler is asked to leave, and what comes then is served all the same.
 func TestStop(t *testing.T) {
 	w := newWorld(t)
@@ -332,7 +351,7 @@
 // and what stands there is cut when the list says that the node has left.
 func TestHandedOverOnADrainingNode(t *testing.T) {
 	w := newWorld(t)
-	w.step(Opened{Conn: 1, Host: "h"})
+	w.step(Opened{Conn: 1, Host: "h"}, Tested{1, id(1)})
 	w.list(flaxshelf.Draining, "n")
 	d := one[Dial](w)
 	w.step(Held{Conn: 1, Node: "n", Task: w.ask(1, 7, 0).Task})
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -12,7 +12,8 @@
 type owner struct {
 	conn  Conn
 	tasks map[string]*task // that wait for their answer on it; nil before the first
-	shown uint64           // when a task was last placed or handed over on it, counted; 0: never
+	shown uint64           // when a task was last placed on it, counted; 0: never
+	gave  uint64           // the same of a task handed over
 }
 
 func (o *owner) add(t *task) {
@@ -86,8 +87,7 @@
 	if n := c.nodes[in.Node]; n == nil || !n.listed {
 		unlisted = true
 	} else {
-		c.door.Used(c.now, connlimit.ID(in.Conn))
-		c.showed(in.Conn)
+		c.gave(in.Conn)
 	}
 	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, attempts: 1}
 	n := c.node(in.Node)
@@ -235,26 +235,40 @@
 // maxUnsaid bounds the ends for which no connection is there.
 const maxUnsaid = 4096
 
-// other is the owner's connection that showed itself the last: a task was placed or handed over on it. Risk covered:
-// bad clients connect from the addresses of owners, and an end that is told to one of them is lost.
+// other is the owner's connection on which a task was placed the last; where there is none, the one on which one was handed
+// over the last. Risk covered: bad clients connect from the addresses of owners and hand over what no node holds, and an
+// end that is told to one of them is lost.
 func (c *Core) other() *owner {
 	var best *owner
 	for _, o := range c.owners {
-		if o.shown > 0 && (best == nil || o.shown > best.shown) {
+		if (o.shown > 0 || o.gave > 0) &&
+			(best == nil || cmp.Or(cmp.Compare(o.shown, best.shown), cmp.Compare(o.gave, best.gave)) > 0) {
 			best = o
 		}
 	}
 	return best
 }
 
-// showed is for a connection on which a task was placed or handed over: it takes along the ends that found none.
+// showed is for a connection on which a task was placed: it takes along the ends that found none.
 func (c *Core) showed(conn Conn) {
-	o := c.owners[conn]
-	if o == nil {
-		return
+	if o := c.owners[conn]; o != nil {
+		c.shows++
+		o.shown = c.shows
+		c.sayUnsaid(conn)
+	}
+}
+
+// gave is for a connection on which a task was handed over. That proves no owner, so it stays a stranger to the door; ends
+// go there where no better one is.
+func (c *Core) gave(conn Conn) {
+	if o := c.owners[conn]; o != nil {
+		c.shows++
+		o.gave = c.shows
+		c.sayUnsaid(conn)
 	}
-	c.shows++
-	o.shown = c.shows
+}
+
+func (c *Core) sayUnsaid(conn Conn) {
 	for _, e := range c.unsaid {
 		e.Conn = conn
 		c.emit(*e)
