Two conditions of moving get a case that fails without them

Seen: taken out one at a time, eight conditions of relocate: six fail TestRelocate; the machines without tasks of ours and the word of good service in between did not. Cases added: nothing of ours stands elsewhere; told badly, well, badly within 1.2 s. Measured: each fails with its condition out; no change of the program.

--- a/placer_test.go
+++ b/placer_test.go
@@ -1,6 +1,7 @@
 package flaxshelf
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -869,11 +870,14 @@
 		elsewhere float64    // told of a task on each other machine
 		failing   bool
 		refuses   bool
+		alone     bool // nothing of ours stands elsewhere
+		every     time.Duration
 		want      int
 	}{
 		{name: "half is lacking, told twice", told: [3]float64{0.4, 0.4, 0.3}, elsewhere: 1, want: 1},
 		{name: "a little is lacking", told: [3]float64{0.8, 0.8, 0.8}, elsewhere: 1},
-		{name: "told once, then well", told: [3]float64{0.4, 1, 0.4}, elsewhere: 1},
+		{name: "told once, then well", told: [3]float64{0.4, 1, 0.4}, elsewhere: 1, every: 600 * ms},
+		{name: "of the others nothing is told", told: [3]float64{0.4, 0.4, 0.4}, alone: true},
 		{name: "all serve badly", told: [3]float64{0.4, 0.4, 0.4}, elsewhere: 0.6},
 		{name: "its class fails elsewhere", told: [3]float64{0.4, 0.4, 0.4}, elsewhere: 1, failing: true},
 		{name: "a machine refuses", told: [3]float64{0.4, 0.4, 0.4}, elsewhere: 1, refuses: true},
@@ -893,6 +897,9 @@
 		}
 		var events []Event
 		for i, id := range []string{"a", "b", "c", "d"} {
+			if i > 0 && c.alone {
+				break
+			}
 			task := ask(id, 0, 0).Task
 			task.Service = id
 			events = append(events, Running{Task: task, Machine: fmt.Sprintf("m%d", i)})
@@ -900,7 +907,7 @@
 		p.Step(2*time.Second, events)
 		moves := 0
 		for i, amount := range c.told {
-			now := Time(3+i) * time.Second
+			now := 3*time.Second + Time(i)*cmp.Or(c.every, time.Second)
 			if c.failing {
 				p.strike(p.machine("m3").record(0))
 				p.touch(p.machine("m3"))
