A scheduler started anew keeps connections that handed tasks over, to tell of ends

Excluded: no node silent, no link broken, box not full. At fault: connlimit Silent, which closes after 2.3 s what proved nothing, though on all four a node had spoken of a task handed over on three of them (asks/owner.go gave). Change: a node's word of a task that was handed over proves the connection; a connection with a hand-over naming a listed node stays while none is known to be an owner's. Second, found by reading: the end of a task that comes before its hand-over was dropped and the task stood for ever; ends of unknown tasks are kept for 8 s, 4,096 at most. Tests: TestHandOversKeepTheOnlyConnections, TestEndBeforeItsHandOver; each fails with its defence out (five defences, one by one).

--- a/cmd/flaxshelf/platform.go
+++ b/cmd/flaxshelf/platform.go
@@ -12,7 +12,7 @@
 
 type platformCmd struct {
 	Config string `env:"GW_CONFIG" type:"path" placeholder:"FILE" help:"Configuration as the platform writes it, JSON; $GW_CONFIG where not given."`
-	Log    string `enum:"debug,info,warn,error" default:"info" help:"What is logged to standard error."`
+	Log    string `enum:"trace,debug,info,warn,error" default:"info" help:"What is logged to standard error; trace: each message."`
 	Tap    string `type:"path" placeholder:"FILE" help:"Record the module's steps, for replay."`
 }
 
--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -244,6 +244,53 @@
 	}
 }
 
+// A scheduler started anew has only connections that handed tasks over. They stay, though bad clients may be among them,
+// until one is known to be an owner's: else nobody would be there to tell of an end.
+func TestHandOversKeepTheOnlyConnections(t *testing.T) {
+	w := newWorld(t)
+	w.nodes("n")
+	w.step(Opened{Conn: 1, Host: "h"}, Opened{Conn: 2, Host: "h"}, Opened{Conn: 3, Host: "h"})
+	w.step(Held{Conn: 1, Node: "n", Task: w.ask(1, 7, 0).Task}, Held{Conn: 2, Node: "n", Task: w.ask(2, 8, 0).Task})
+	w.pass(3 * time.Second)
+	if e := one[Expel](w); e.Conn != 3 {
+		t.Errorf("%+v", e)
+	}
+	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(7), Cause: CauseGivenUp})
+	if e := one[Over](w); e.Conn != 1 {
+		t.Errorf("%+v", e)
+	}
+	w.pass(time.Second) // a node has spoken of what 1 handed over, and of nothing else
+	if e := one[Expel](w); e.Conn != 2 {
+		t.Errorf("%+v", e)
+	}
+}
+
+// The end of a task may come before the hand-over of that task, when both cross a start: its owner hears it all the same.
+// The word of another node, and of a task that was known and ended here, is no such end.
+func TestEndBeforeItsHandOver(t *testing.T) {
+	w := newWorld(t)
+	w.nodes("n", "m")
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(7), Cause: CauseReset})
+	w.step(Held{Conn: 1, Node: "m", Task: w.ask(1, 7, 0).Task})
+	none[Over](w)
+	w.step(Heard{Link: w.up["m"], Say: SaysRelease, Task: id(7), Cause: CauseGivenUp})
+	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(8), Cause: CauseReset})
+	w.step(Held{Conn: 1, Node: "n", Task: w.ask(1, 8, 0).Task})
+	if e := one[Over](w); e != (Over{Conn: 1, Task: id(8), Cause: CauseReset}) {
+		t.Errorf("%+v", e)
+	}
+	if f := w.c.Figures(); f.Standing != 0 {
+		t.Errorf("%d stand", f.Standing)
+	}
+	for i := range 2 * earlyMost {
+		w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(100 + i), Cause: CauseReset})
+	}
+	if n := len(w.c.early.of); n > earlyMost || n != len(w.c.early.order) {
+		t.Errorf("%d ends are kept", n)
+	}
+}
+
 // Tests are passed until the scheduler is asked to leave, and what comes then is served all the same.
 func TestStop(t *testing.T) {
 	w := newWorld(t)
--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -137,6 +137,9 @@
 	}
 	l.heardAt, l.usedAt, l.node.heardAt = c.now, c.now, c.now
 	a := c.attemptOn(in.Link, in.Task)
+	if a != nil {
+		c.provedBy(a.task)
+	}
 	switch in.Say {
 	case SaysAnswer:
 		switch {
@@ -147,6 +150,10 @@
 			c.emit(Cut{l.id, in.Task, CauseGivenUp})
 		}
 	case SaysRelease:
+		if a == nil {
+			c.noteEarly(l.node, in)
+			return
+		}
 		c.over(a, in)
 	case SaysReleased:
 		if a != nil && a.phase == ending {
@@ -176,9 +183,6 @@
 
 // over is a node's release.
 func (c *Core) over(a *attempt, in Heard) {
-	if a == nil {
-		return
-	}
 	switch a.phase {
 	case offered:
 		v := flaxshelf.Lost
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -42,6 +42,7 @@
 	lastLink Link
 	shows    uint64
 	unsaid   []*Over // ends that no connection could be found for
+	early    earlyEnds
 	timers   dueheap.Timers
 	feed     feed
 	stopping bool
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -44,6 +44,7 @@
 	open     bool // its owner is owed an answer
 	attempts int
 	live     *attempt
+	handed   bool // it came by Held, and its node has not spoken of it
 }
 
 // setUp begins an ask. One whose id is open already is not begun: the first keeps its one answer.
@@ -76,7 +77,7 @@
 	if c.tasks[in.Task.ID] != nil {
 		return
 	}
-	if c.owners[in.Conn] == nil {
+	if c.owners[in.Conn] == nil || c.endedEarly(in) {
 		return
 	}
 	// Risk covered: bad clients may hand over tasks without end, and name nodes that are none.
@@ -89,7 +90,7 @@
 	} else {
 		c.gave(in.Conn)
 	}
-	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, attempts: 1}
+	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, attempts: 1, handed: true}
 	n := c.node(in.Node)
 	t.live = &attempt{task: t, node: n, sent: c.now, phase: standing, unlisted: unlisted}
 	if unlisted {
@@ -258,16 +259,25 @@
 	}
 }
 
-// gave is for a connection on which a task was handed over. That proves no owner, so it stays a stranger to the door; ends
-// go there where no better one is.
+// gave is for a connection on which a task was handed over. That proves no owner, so it stays a stranger to the door, until
+// the node speaks of the task; ends go there where no better one is.
 func (c *Core) gave(conn Conn) {
 	if o := c.owners[conn]; o != nil {
 		c.shows++
 		o.gave = c.shows
+		c.door.Vouch(connlimit.ID(conn))
 		c.sayUnsaid(conn)
 	}
 }
 
+// provedBy is a node's word of a task that was handed over: who handed it over is an owner.
+func (c *Core) provedBy(t *task) {
+	if t.handed {
+		t.handed = false
+		c.door.Used(c.now, connlimit.ID(t.conn))
+	}
+}
+
 func (c *Core) sayUnsaid(conn Conn) {
 	for _, e := range c.unsaid {
 		e.Conn = conn
--- a/internal/connlimit/limit.go
+++ b/internal/connlimit/limit.go
@@ -31,6 +31,7 @@
 	came    Time
 	used    Time
 	proven  bool
+	vouched bool
 	open    int
 	wrong   int
 	element *list.Element
@@ -120,6 +121,13 @@
 	e.element = d.known.PushBack(e)
 }
 
+// Vouch books that a connection carried what owners carry, though it proves none.
+func (d *Door) Vouch(id ID) {
+	if e := d.all[id]; e != nil {
+		e.vouched = true
+	}
+}
+
 // unstrange takes e from the strangers.
 func (d *Door) unstrange(e *entry) {
 	d.strange.Remove(e.element)
@@ -173,9 +181,10 @@
 }
 
 // Silent returns the connections that have said nothing of use for too long, and when to ask next; 0: not before one
-// comes. What is returned counts as gone.
+// comes. What is returned counts as gone. A vouched one stays while none is known to be of use. Risk covered: a scheduler
+// started anew would close all that its owners have, and then have nobody to tell of an end.
 func (d *Door) Silent(now Time) (out []ID, next Time) {
-	waits := false // for the answer of a set-up, and is looked at again
+	waits := false // one stays for now, and is looked at again
 	for x := d.strange.Front(); x != nil; {
 		e := x.Value.(*entry)
 		x = x.Next()
@@ -183,7 +192,7 @@
 			next = due
 			break
 		}
-		if e.open > 0 {
+		if e.open > 0 || e.vouched && d.known.Len() == 0 {
 			waits = true
 			continue
 		}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -165,7 +165,13 @@
 			}
 		}
 		now := clock.Now()
+		if s.traces() {
+			s.traceIn(inputs)
+		}
 		effects, next := s.core.Step(now, inputs)
+		if s.traces() {
+			s.traceOut(effects)
+		}
 		inputs = inputs[:0]
 		s.carry(now, effects)
 		if taken && s.core.Idle() {
