Messages keep their order on a connection, and the last ones outlive the event loop's end

Found by reading gnet: its queue has two lanes. What comes while 1,024 tasks wait goes to the slow one, and what comes after the fast one has emptied overtakes it; the end of the engine takes the fast one. At fault: transport/conn.go Do and Close, which trusted the loop's queue, and dialer.go Stop. Seen by test: of 20,000 lines sent beside a working loop line 1,047 is 1,052; of 1,201 connections with a word queued each, some end without it. Change: each connection has its own queue, of which the loop does all in order; Stop waits for what was queued. New: CloseWrite ends our side alone, Drain takes the listener's queue before it ends listening. Tests, each seen to fail without its defence: TestOrderBesideTheLoop, TestLastWordsArrive, TestCloseWrite, TestDrainTakesTheQueue.

--- a/internal/transport/accept.go
+++ b/internal/transport/accept.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 	done chan struct{}
 }
 
+// drainFor is how long a draining acceptor goes on taking what the listener's queue holds.
+const drainFor = 20 * time.Millisecond
+
 // acceptPause is how long an acceptor waits after accepting has failed: descriptors come free by time.
 const acceptPause = 20 * time.Millisecond
 
@@ -47,6 +51,9 @@
 					_ = nc.Close()
 				}
 				return
+			case errors.Is(err, os.ErrDeadlineExceeded): // it drains, and the queue is empty
+				_ = ln.Close()
+				return
 			case err != nil: // no descriptor is left, or the peer has gone already
 				time.Sleep(acceptPause)
 				continue
@@ -65,6 +72,23 @@
 // Addr is the bound address.
 func (a *Acceptor) Addr() string { return a.ln.Addr().String() }
 
+// Drain takes what has connected already and ends listening then. Risk covered: the listener's close resets the connections in
+// its queue, with requests that the machine has accepted though the process has not.
+func (a *Acceptor) Drain() { _ = a.ln.SetDeadline(time.Now().Add(drainFor)) }
+
+// Done is closed when listening has ended.
+func (a *Acceptor) Done() <-chan struct{} { return a.done }
+
+// Ended tells whether listening has ended.
+func (a *Acceptor) Ended() bool {
+	select {
+	case <-a.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Stop ends listening; connections stay.
 func (a *Acceptor) Stop() {
 	_ = a.ln.Close()
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -6,11 +6,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 )
 
 // The reasons for which this side closes a connection. Closed gets them, wrapped with figures.
@@ -64,7 +66,10 @@
 	heard  atomic.Int64 // Unix nanoseconds of the last bytes
 	idle   *time.Timer
 	half   *time.Timer
-	closed bool // of the loop
+	mu     sync.Mutex
+	todo   []func() // for the loop
+	called bool     // the loop is on its way to them
+	closed bool     // of the loop
 	gone   atomic.Bool
 	why    error // of the loop
 	remote string
@@ -87,7 +92,7 @@
 		c.Close(fmt.Errorf("%w: %d bytes wait", ErrSlowReader, n))
 		return false
 	}
-	err := c.g.EventLoop().Execute(context.Background(), run(func() {
+	return c.queue(func() {
 		c.queued.Add(-int64(size))
 		if c.closed {
 			return
@@ -96,8 +101,45 @@
 		if n := c.g.OutboundBuffered(); !c.closed && n > c.opt.MaxOut {
 			c.closeNow(fmt.Errorf("%w: %d bytes wait", ErrSlowReader, n))
 		}
-	}))
-	return err == nil
+	})
+}
+
+// queue has f run on the connection's loop, in the order of the calls; false: the loop has stopped. Risk covered: the loop's
+// own queue has two lanes and puts what comes while over 1,024 tasks wait behind what comes after it, so messages would
+// change places.
+func (c *Conn) queue(f func()) bool {
+	c.mu.Lock()
+	c.todo = append(c.todo, f)
+	first := !c.called
+	c.called = true
+	c.mu.Unlock()
+	if !first {
+		return true
+	}
+	if c.g.EventLoop().Execute(context.Background(), run(c.work)) != nil {
+		c.mu.Lock()
+		c.todo, c.called = nil, false
+		c.mu.Unlock()
+		return false
+	}
+	return true
+}
+
+// work runs on the loop.
+func (c *Conn) work() {
+	for {
+		c.mu.Lock()
+		todo := c.todo
+		c.todo = nil
+		c.called = len(todo) > 0
+		c.mu.Unlock()
+		if len(todo) == 0 {
+			return
+		}
+		for _, f := range todo {
+			f()
+		}
+	}
 }
 
 // Gone tells whether the connection has closed.
@@ -140,9 +182,26 @@
 // Keep lifts the idle time-out, for a connection on which only this side speaks.
 func (c *Conn) Keep() { c.heard.Store(1<<63 - 1) }
 
+// CloseWrite sends what was queued before and then ends our side; what the peer still sends is read until it has closed too.
+func (c *Conn) CloseWrite() {
+	c.queue(func() {
+		if c.closed {
+			return
+		}
+		if c.g.OutboundBuffered() > 0 { // the peer is slow
+			time.AfterFunc(flushAgain, c.CloseWrite)
+			return
+		}
+		_ = unix.Shutdown(c.g.Fd(), unix.SHUT_WR)
+	})
+}
+
+// flushAgain is after how long a connection whose peer is slow is looked at again.
+const flushAgain = 2 * time.Millisecond
+
 // Close closes the connection with a reason, after what was queued before.
 func (c *Conn) Close(why error) {
-	_ = c.g.EventLoop().Execute(context.Background(), run(func() { c.closeNow(why) }))
+	c.queue(func() { c.closeNow(why) })
 }
 
 func (c *Conn) closeNow(why error) {
@@ -165,6 +224,7 @@
 	opt    Options
 	accept func(c *Conn) Peer
 	booted chan gnet.Engine
+	loops  sync.Map // gnet.EventLoop: those that have had a connection
 }
 
 func (h *handler) OnBoot(e gnet.Engine) gnet.Action {
@@ -181,6 +241,7 @@
 		g.SetContext(c)
 	}
 	c.g, c.remote = g, g.RemoteAddr().String()
+	h.loops.LoadOrStore(g.EventLoop(), struct{}{})
 	c.heard.Store(time.Now().UnixNano())
 	if !dialled {
 		c.peer = h.accept(c)
@@ -239,6 +300,18 @@
 	return gnet.None
 }
 
+// flush waits until the loops have done what was queued before. Risk covered: the engine's end overtakes what waits in a
+// loop's queue, as the last answer of all.
+func (h *handler) flush() {
+	h.loops.Range(func(l, _ any) bool {
+		done := make(chan struct{})
+		if l.(gnet.EventLoop).Execute(context.Background(), run(func() { close(done) })) == nil {
+			<-done
+		}
+		return true
+	})
+}
+
 func (h *handler) OnClose(g gnet.Conn, err error) gnet.Action {
 	c, ok := g.Context().(*Conn)
 	if !ok || c.closed {
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -15,6 +15,7 @@
 // Dialer makes connections that live on its own event loops.
 type Dialer struct {
 	client *gnet.Client
+	h      *handler
 	opt    Options
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -33,7 +34,7 @@
 	if err := client.Start(); err != nil {
 		return nil, fmt.Errorf("transport: start dialer: %w", err)
 	}
-	d.client = client
+	d.client, d.h = client, h
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	return d, nil
 }
@@ -52,10 +53,11 @@
 	return c, nil
 }
 
-// Stop ends all links and connections and waits for them.
+// Stop ends all links and connections, after what was queued on them, and waits for them.
 func (d *Dialer) Stop() error {
 	d.cancel()
 	d.wg.Wait()
+	d.h.flush()
 	return d.client.Stop()
 }
 
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -409,3 +410,211 @@
 }
 
 func (p *collect) Closed(*Conn, error) {}
+
+// blocker is a peer whose Receive waits, so that a test decides what the loop finds when it goes on.
+type blocker struct {
+	echo
+	in, out chan struct{}
+}
+
+func (b *blocker) Receive(_ *Conn, in []byte) (int, error) {
+	b.in <- struct{}{}
+	<-b.out
+	return len(in), nil
+}
+
+// opener is a peer that tells of its connection when it is open.
+type opener struct {
+	echo
+	conns chan *Conn
+}
+
+func (o *opener) Opened(c *Conn) { o.conns <- c }
+
+// accepting is a dialer that listens too.
+func accepting(t *testing.T, admit func(), peer func(c *Conn) Peer) (*Dialer, *Acceptor) {
+	t.Helper()
+	d, err := NewDialer(Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := d.Accept("127.0.0.1:0", admit, peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d, a
+}
+
+// What was sent before the end reaches each peer, though the loop was busy, and the engine's end overtakes what waits in its
+// queue behind the first 1,024.
+func TestLastWordsArrive(t *testing.T) {
+	const all = 1200
+	opened, b := make(chan *Conn, all), &blocker{echo{closed: make(chan error, 1)}, make(chan struct{}), make(chan struct{})}
+	n := 0
+	d, a := accepting(t, func() {}, func(*Conn) Peer {
+		if n++; n > all {
+			return b
+		}
+		return &opener{echo{closed: make(chan error, 1)}, opened}
+	})
+	var peers []net.Conn
+	for range all + 1 {
+		c, err := net.Dial("tcp", a.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		peers = append(peers, c)
+	}
+	var conns []*Conn
+	for range all {
+		conns = append(conns, <-opened)
+	}
+	_, _ = io.WriteString(peers[all], "busy")
+	<-b.in // the loop is held
+	for _, c := range conns {
+		c.Send([]byte("last words"))
+	}
+	a.Stop()
+	go func() {
+		for range 1000 { // Stop gets as far as it can
+			runtime.Gosched()
+		}
+		b.out <- struct{}{}
+	}()
+	if err := d.Stop(); err != nil {
+		t.Error(err)
+	}
+	for _, c := range peers[:all] {
+		if got, err := io.ReadAll(c); err != nil || string(got) != "last words" {
+			t.Fatalf("%q, %v", got, err)
+		}
+	}
+}
+
+// Our side ends after what was queued, and what the peer says until it has closed too is read.
+func TestCloseWrite(t *testing.T) {
+	conns, closed := make(chan *Conn, 1), make(chan error, 1)
+	d, a := accepting(t, func() {}, func(*Conn) Peer { return &opener{echo{closed: closed}, conns} })
+	c, err := net.Dial("tcp", a.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, big := <-conns, strings.Repeat("x", 4<<20)
+	conn.Send([]byte(big))
+	conn.CloseWrite()
+	if got, err := io.ReadAll(c); err != nil || string(got) != big {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+	if _, err := io.WriteString(c, "heard still\n"); err != nil {
+		t.Error(err)
+	}
+	_ = c.Close()
+	if err := why(t, closed); !errors.Is(err, ErrPeerClosed) {
+		t.Error(err)
+	}
+	a.Stop()
+	if err := d.Stop(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A connection that waits in the listener's queue when listening ends is taken, with what was written on it.
+func TestDrainTakesTheQueue(t *testing.T) {
+	slots, closed := make(chan struct{}), make(chan error, 2)
+	d, a := accepting(t, func() { slots <- struct{}{} }, func(*Conn) Peer { return &echo{closed: closed} })
+	var all []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", a.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "ask\n")
+		all = append(all, c)
+	}
+	a.Drain()
+	go func() {
+		for range slots {
+		}
+	}()
+	<-slots
+	for _, c := range all {
+		b := make([]byte, 4)
+		if _, err := io.ReadFull(c, b); err != nil || string(b) != "ask\n" {
+			t.Errorf("%q, %v", b, err)
+		}
+	}
+	<-a.Done()
+	if err := d.Stop(); err != nil {
+		t.Error(err)
+	}
+	close(slots)
+}
+
+// What is sent on a connection keeps its order, however much waits for a busy loop, and all of it reaches the peer though
+// the engine is stopped right behind it.
+func TestOrderUnderLoad(t *testing.T) {
+	conns, b := make(chan *Conn, 1), &blocker{echo{closed: make(chan error, 1)}, make(chan struct{}), make(chan struct{})}
+	d, a := accepting(t, func() {}, func(c *Conn) Peer { conns <- c; return b })
+	c, err := net.Dial("tcp", a.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "busy")
+	<-b.in // the loop is held
+	conn, want := <-conns, strings.Builder{}
+	const all = 5000
+	for i := range all {
+		line := fmt.Sprintf("%d\n", i)
+		want.WriteString(line)
+		conn.Send([]byte(line))
+	}
+	a.Stop()
+	go func() {
+		for range 1000 { // Stop gets as far as it can
+			runtime.Gosched()
+		}
+		b.out <- struct{}{}
+	}()
+	if err := d.Stop(); err != nil {
+		t.Error(err)
+	}
+	if got, err := io.ReadAll(c); err != nil || string(got) != want.String() {
+		t.Errorf("%d bytes of %d, %v, in order: %v", len(got), want.Len(), err, strings.HasPrefix(want.String(), string(got)))
+	}
+}
+
+// Two goroutines may send beside a loop that works: each one's messages keep their order.
+func TestOrderBesideTheLoop(t *testing.T) {
+	conns := make(chan *Conn, 1)
+	d, a := accepting(t, func() {}, func(*Conn) Peer { return &opener{echo{closed: make(chan error, 1)}, conns} })
+	c, err := net.Dial("tcp", a.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	conn := <-conns
+	const all = 20000
+	go func() {
+		for i := range all {
+			conn.Send(fmt.Appendf(nil, "%d\n", i))
+		}
+		conn.CloseWrite()
+	}()
+	got, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, line := range strings.Split(strings.TrimSpace(string(got)), "\n") {
+		if line != fmt.Sprint(i) {
+			t.Fatalf("line %d is %q", i, line)
+		}
+	}
+	_ = c.Close()
+	a.Stop()
+	if err := d.Stop(); err != nil {
+		t.Error(err)
+	}
+}
