A scheduler that leaves waits for half a request, its listener's queue and its last words

At fault: platform.go own and close: listening ended with what the kernel had accepted still in its queue; it went in the step of the last answer, whose bytes were still in the loop's queue, and closed connections with unread bytes, a reset that destroys answers; half a request was cut off.

--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -140,7 +140,7 @@
 	case Heard:
 		c.heard(in)
 	case Unsent:
-		if a := c.attemptOn(in.Link, in.Task); a != nil && a.phase == offered {
+		if a := c.attemptOn(in.Link, in.Task); a != nil && a.phase == offered && a.n == in.Attempt {
 			c.end(a, flaxshelf.NotSent, flaxshelf.Untold)
 		}
 	case Listed:
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -97,8 +97,9 @@
 	}
 	// Unsent tells that a set-up was not written.
 	Unsent struct {
-		Link Link
-		Task string
+		Link    Link
+		Task    string
+		Attempt int
 	}
 
 	// Listed is the control feed's word.
@@ -179,6 +180,7 @@
 	// Offer writes a set-up.
 	Offer struct {
 		Link                                 Link
+		Attempt                              int // its number among those of the task
 		Node, Task, Class, Key, Idem, Detail string
 		Left                                 time.Duration
 	}
--- a/internal/front/platformfront/feed.go
+++ b/internal/front/platformfront/feed.go
@@ -54,3 +54,24 @@
 	}
 	return e, nil
 }
+
+// Fold makes one list of changes that follow each other: the last word on each node, in the order of their first. It is
+// false for none that speaks of nodes.
+func Fold(changes []Change) (list asks.Listed, any bool) {
+	at := map[string]int{}
+	for _, c := range changes {
+		if c.Listed.Whole {
+			list, at = asks.Listed{Whole: true}, map[string]int{}
+		}
+		for i, m := range c.Listed.Machines {
+			n, again := at[m.ID]
+			if !again {
+				n = len(list.Machines)
+				at[m.ID] = n
+				list.Machines, list.Addrs = append(list.Machines, m), append(list.Addrs, "")
+			}
+			list.Machines[n], list.Addrs[n] = m, c.Listed.Addrs[i]
+		}
+	}
+	return list, list.Whole || len(list.Machines) > 0
+}
--- a/internal/front/platformfront/platformfront_test.go
+++ b/internal/front/platformfront/platformfront_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -195,3 +196,30 @@
 		}
 	}
 }
+
+// Changes that follow each other make one list: the last word on each node, nothing from before a whole list.
+func TestFold(t *testing.T) {
+	m := func(id string, state flaxshelf.State) flaxshelf.Machine {
+		return flaxshelf.Machine{ID: id, State: state}
+	}
+	change := func(whole bool, addr string, all ...flaxshelf.Machine) Change {
+		c := Change{Listed: asks.Listed{Whole: whole, Machines: all}}
+		for range all {
+			c.Listed.Addrs = append(c.Listed.Addrs, addr)
+		}
+		return c
+	}
+	if _, any := Fold([]Change{{N: 1}}); any {
+		t.Error("a change that says nothing of nodes became a list")
+	}
+	got, any := Fold([]Change{change(false, "w", m("z", flaxshelf.In)), change(true, "x", m("a", flaxshelf.In), m("b", flaxshelf.In)),
+		change(false, "y", m("c", flaxshelf.In), m("a", flaxshelf.Draining)), change(false, "z", m("a", flaxshelf.Out))})
+	want := asks.Listed{Whole: true, Machines: []flaxshelf.Machine{m("a", flaxshelf.Out), m("b", flaxshelf.In), m("c", flaxshelf.In)},
+		Addrs: []string{"z", "x", "y"}}
+	if !any || !reflect.DeepEqual(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	if got, _ := Fold([]Change{change(false, "w", m("z", flaxshelf.In))}); got.Whole {
+		t.Error("a change became a whole list")
+	}
+}
--- a/internal/front/platformfront/settings.go
+++ b/internal/front/platformfront/settings.go
@@ -31,6 +31,7 @@
 	Seed               uint64
 	Limits             Limits
 	Known              []Change      // the control feed's events of the start
+	Raw                [][]byte      // the same, as they were written
 	Last               uint64        // the number of the last of them
 	Idle               time.Duration // after which nodes close a connection without traffic; 0: not told
 	Module             flaxshelf.Config
@@ -104,7 +105,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: field known.events[%d]: %w", ErrConfig, i, err)
 		}
-		c.Known = append(c.Known, e)
+		c.Known, c.Raw = append(c.Known, e), append(c.Raw, raw)
 	}
 	return c, nil
 }
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -62,7 +62,7 @@
 			return // given up for another call
 		}
 		f.s.opt.Log.Info().Err(err).Str("feed", addr).Msg("the control feed has ended")
-		f.s.pass(asks.FeedDown{})
+		f.pass(asks.FeedDown{})
 	}()
 }
 
@@ -96,7 +96,7 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("platform: control feed: status %s", res.Status)
 	}
-	f.s.pass(asks.FeedUp{})
+	f.pass(asks.FeedUp{})
 	var d eventstream.Decoder
 	buf := make([]byte, 4096)
 	for {
@@ -118,10 +118,13 @@
 	if err != nil {
 		return err
 	}
-	f.s.pass(told{change: change})
+	f.pass(told{change: change})
 	return nil
 }
 
+// pass hands word of the feed to the owner and waits for room.
+func (f *feed) pass(in asks.Input) { f.s.box.pass(message{in: []asks.Input{in}}, f.s.ended) }
+
 func (f *feed) stop() {
 	if f.cancel != nil {
 		f.cancel()
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -21,16 +21,24 @@
 // half tells whether a message has begun and is not whole.
 type half bool
 
-// watch closes a connection on which half a message stays for longer than within.
-func (h *half) watch(c *transport.Conn, used, of int, within time.Duration) {
-	is := half(used < of)
-	if is == *h && (!is || used == 0) {
-		return
+// watch closes a connection on which half a message stays for longer than within. It tells by how many the connections with
+// half a message have changed.
+func (h *half) watch(c *transport.Conn, used, of int, within time.Duration) (more int64) {
+	is, was := used < of, bool(*h)
+	if is == was && (!is || used == 0) {
+		return 0
 	}
-	if *h = is; !is {
+	switch {
+	case is && !was:
+		more = 1
+	case was && !is:
+		more = -1
+	}
+	if *h = half(is); !is {
 		within = 0
 	}
 	c.Hurry(within)
+	return more
 }
 
 // ownerPeer makes the peer of an owner's new connection.
@@ -48,7 +56,7 @@
 // Opened implements transport's hook.
 func (p *ownerPeer) Opened(c *transport.Conn) {
 	host, _, _ := net.SplitHostPort(c.Remote())
-	if !p.s.offer(message{in: []asks.Input{asks.Opened{Conn: p.id, Host: host}}, conn: c}) {
+	if !p.s.box.offer(message{in: []asks.Input{asks.Opened{Conn: p.id, Host: host}}, conn: c, at: clock.Now()}) {
 		c.Close(errFull)
 	}
 }
@@ -82,10 +90,10 @@
 			all = append(all, input)
 		}
 	}
-	if len(all) > 0 && !p.s.offer(message{in: all}) {
+	if len(all) > 0 && !p.s.box.offer(message{in: all, at: now}) {
 		return used, errFull
 	}
-	p.half.watch(c, used, len(in), mute)
+	p.s.halves.Add(p.half.watch(c, used, len(in), mute))
 	if err != nil {
 		p.s.opt.Log.Debug().Err(err).Str("owner", c.Remote()).Msg("the connection can't be read on")
 	}
@@ -94,8 +102,11 @@
 
 // Closed implements transport.Peer.
 func (p *ownerPeer) Closed(_ *transport.Conn, _ error) {
+	if p.half {
+		p.s.halves.Add(-1)
+	}
 	<-p.s.slots
-	p.s.tell(asks.Closed{Conn: p.id})
+	p.s.box.tell(message{in: []asks.Input{asks.Closed{Conn: p.id}}})
 }
 
 // nodePeer reads what a node says on one link. It belongs to the loop.
@@ -111,7 +122,7 @@
 
 // Opened implements transport's hook.
 func (p *nodePeer) Opened(c *transport.Conn) {
-	if !p.s.offer(message{in: []asks.Input{asks.Up{Link: p.link}}, conn: c}) {
+	if !p.s.box.offer(message{in: []asks.Input{asks.Up{Link: p.link}}, conn: c}) {
 		c.Close(errFull)
 	}
 }
@@ -135,7 +146,7 @@
 			all = append(all, input)
 		}
 	}
-	if len(all) > 0 && !p.s.offer(message{in: all}) {
+	if len(all) > 0 && !p.s.box.offer(message{in: all}) {
 		return used, errFull
 	}
 	p.half.watch(c, used, len(in), halfWithin)
@@ -145,5 +156,5 @@
 // Closed implements transport.Peer.
 func (p *nodePeer) Closed(c *transport.Conn, why error) {
 	p.s.opt.Log.Debug().Err(why).Str("node", c.Remote()).Msg("the connection to the node has closed")
-	p.s.tell(asks.Down{Link: p.link})
+	p.s.box.tell(message{in: []asks.Input{asks.Down{Link: p.link}}})
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -26,10 +26,10 @@
 )
 
 const (
-	mailbox = 1 << 12 // messages that may wait for the owner of the core
-	batch   = 512     // of which one step takes
-	maxOut  = 1 << 20 // bytes that may wait for a peer
-	maxIn   = 64 << 10
+	inbox  = 1 << 12 // messages that may wait for the owner of the core
+	batch  = 512     // of which one step takes
+	maxOut = 1 << 20 // bytes that may wait for a peer
+	maxIn  = 64 << 10
 	// silent is how long a node may be out of reach before what stands there counts as cut; owners are to hear within 8 s.
 	silent = 6 * time.Second
 	// mute is how long an owner's connection may say nothing of use: a bad client is owed a close within 3 s.
@@ -38,8 +38,6 @@
 	// within 50 ms only.
 	spare   = 200 * time.Millisecond
 	maxOpen = 2048 // set-ups that may wait for their answer
-	// taking is how long new connections and requests keep coming after SIGTERM, with some room.
-	taking = 900 * time.Millisecond
 )
 
 // Options are what the command line says.
@@ -53,6 +51,7 @@
 type message struct {
 	in   []asks.Input
 	conn *transport.Conn // that the inputs came on, to be known from now on
+	at   asks.Time       // when an owner said it; 0: another did
 }
 
 // Scheduler is a running scheduler. All fields below the channels are the owner's.
@@ -60,13 +59,13 @@
 	opt    Options
 	dialer *transport.Dialer
 	accept *transport.Acceptor
-	box    chan message
+	box    *mailbox
 	ended  chan struct{}
 	cfg    atomic.Pointer[platformfront.Config]
 	conns  atomic.Uint64 // owners' connections so far
 	slots  chan struct{} // one for each owner's connection
 	dials  sync.WaitGroup
-	passes sync.WaitGroup // of messages that found the box full
+	halves atomic.Int64 // owners' connections on which a message has begun and is not whole
 	life   context.Context
 	end    context.CancelFunc
 	cpu    time.Duration
@@ -95,7 +94,7 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core or a part of one
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
-	s := &Scheduler{opt: opt, box: make(chan message, mailbox), ended: make(chan struct{}),
+	s := &Scheduler{opt: opt, box: newMailbox(inbox), ended: make(chan struct{}),
 		slots:  make(chan struct{}, cfg.Limits.Sockets*3/4),
 		owners: map[asks.Conn]*peer{}, links: map[asks.Link]*peer{}, last: cfg.Last}
 	s.cfg.Store(cfg)
@@ -133,36 +132,33 @@
 	defer wake.Stop()
 	tell := time.NewTicker(5 * time.Second)
 	defer tell.Stop()
-	var leaveAt <-chan time.Time
-	taken := false // the time after SIGTERM in which requests come is over
+	var leave departure
+	var look <-chan time.Time   // when leaving is looked at again
+	var drained <-chan struct{} // listening has ended
+	var came []message
 	inputs := s.known()
 	for {
 		select {
-		case m := <-s.box:
-			inputs = s.receive(m, inputs)
+		case <-s.box.ready:
 		case <-wake.C:
 		case <-reload:
 			inputs = append(inputs, s.reload()...)
 		case <-stop:
 			stop = nil
+			leave.asked = clock.Now()
 			inputs = append(inputs, asks.Stop{})
-			leaveAt = time.After(taking)
 			s.opt.Log.Info().Msg("asked to leave: what comes still is served")
-		case <-leaveAt:
-			s.accept.Stop()
-			taken = true
+		case <-look:
+		case <-drained:
+			drained = nil
 		case <-tell.C:
 			s.report()
 			continue
 		}
-	drain:
-		for len(inputs) < batch {
-			select {
-			case m := <-s.box:
-				inputs = s.receive(m, inputs)
-			default:
-				break drain
-			}
+		came = s.box.take(came[:0], batch)
+		for _, m := range came {
+			inputs = s.receive(m, inputs)
+			leave.heard = max(leave.heard, m.at)
 		}
 		now := clock.Now()
 		if s.traces() {
@@ -174,9 +170,18 @@
 		}
 		inputs = inputs[:0]
 		s.carry(now, effects)
-		if taken && s.core.Idle() {
-			s.report()
-			return
+		if leave.asked > 0 {
+			state := leave.next(now, openState{Idle: s.core.Idle() && s.box.empty(), Half: s.halves.Load() > 0,
+				Listens: !s.accept.Ended()})
+			switch {
+			case state.gone:
+				s.report()
+				return
+			case state.drain:
+				s.accept.Drain()
+				drained = s.accept.Done()
+			}
+			look = time.After(state.again)
 		}
 		if next > 0 {
 			wake.Reset(max(next-clock.Now(), 0))
@@ -184,37 +189,44 @@
 	}
 }
 
-// known is the configuration's word of the nodes.
+// known is the configuration's word of the nodes: one list, whatever the number of its events. Risk covered: a start that
+// dials each node that ever was.
 func (s *Scheduler) known() []asks.Input {
-	var all []asks.Input
-	for _, e := range s.cfg.Load().Known {
-		e.Listed.Known = true
-		all = append(all, e.Listed)
+	list, any := platformfront.Fold(s.cfg.Load().Known)
+	if !any {
+		return nil
 	}
-	return all
+	list.Known = true
+	return []asks.Input{list}
 }
 
 // reload reads the configuration again. A broken file changes nothing.
 func (s *Scheduler) reload() []asks.Input {
+	old := s.cfg.Load()
 	file, err := platformfront.ReadConfig(s.opt.Config)
 	if err != nil {
 		s.opt.Log.Error().Err(err).Msg("the new configuration can't be used, the old one stays")
 		return nil
 	}
-	old := s.cfg.Load()
-	// Risk covered: the core has the settings of its start, and other ones would give classes and kinds other numbers.
-	cfg, same := *old, reflect.DeepEqual(file.Module, old.Module)
+	// Risk covered: the core has the settings of its start, and other ones would give classes and kinds other numbers. What
+	// the file knows of nodes is read by the names of the start: a drain is a drain all the same.
+	cfg := *old
 	cfg.Feed = file.Feed
-	if !same {
-		s.opt.Log.Error().Msg("the new configuration has other settings, those of the start stay; its feed is followed")
+	if !reflect.DeepEqual(file.Module, old.Module) {
+		s.opt.Log.Error().Msg("the new configuration has other settings, those of the start stay; its feed and nodes are followed")
 	}
-	var all []asks.Input
-	for _, e := range file.Known {
-		if same && e.N > s.last {
+	var fresh []platformfront.Change
+	for _, raw := range file.Raw {
+		e, err := old.Change(raw)
+		if err == nil && e.N > s.last {
 			s.last = e.N
-			all = append(all, e.Listed)
+			fresh = append(fresh, e)
 		}
 	}
+	var all []asks.Input
+	if list, any := platformfront.Fold(fresh); any {
+		all = append(all, list)
+	}
 	s.cfg.Store(&cfg)
 	s.opt.Log.Info().Str("feed", cfg.Feed).Str("former", old.Feed).Uint64("event", s.last).Msg("configuration read again")
 	s.feed.ask(cfg.Feed, s.last)
@@ -244,35 +256,9 @@
 	return inputs
 }
 
-// pass hands a message to the owner and waits for room; not for loops.
-func (s *Scheduler) pass(in ...asks.Input) {
-	select {
-	case s.box <- message{in: in}:
-	case <-s.ended:
-	}
-}
-
-// offer hands a message to the owner if there is room; for loops.
-func (s *Scheduler) offer(m message) bool {
-	select {
-	case s.box <- m:
-		return true
-	default:
-		return false
-	}
-}
-
 // late gives offers back that were never written; it may be called by the owner itself.
-func (s *Scheduler) late(link asks.Link, task string) {
-	in := asks.Unsent{Link: link, Task: task}
-	s.tell(in)
-}
-
-// tell is for word that must not be lost, from loops and from the owner itself: where the box is full it waits aside.
-func (s *Scheduler) tell(in asks.Input) {
-	if !s.offer(message{in: []asks.Input{in}}) {
-		s.passes.Go(func() { s.pass(in) })
-	}
+func (s *Scheduler) late(e *asks.Offer) {
+	s.box.tell(message{in: []asks.Input{asks.Unsent{Link: e.Link, Task: e.Task, Attempt: e.Attempt}}})
 }
 
 // carry carries out effects in order. What one step has for a connection goes to its loop together.
@@ -328,18 +314,18 @@
 }
 
 func (s *Scheduler) putOffer(e *asks.Offer) {
-	p, link, task := s.links[e.Link], e.Link, e.Task
+	p, offer := s.links[e.Link], *e
 	if p == nil {
-		s.late(link, task)
+		s.late(&offer)
 		return
 	}
 	if p.box.Empty() {
 		s.dirty = append(s.dirty, p)
 	}
-	err := p.box.PutTimed(func(b []byte) ([]byte, error) { return platformfront.Offer(b, e) }, func() { s.late(link, task) })
+	err := p.box.PutTimed(func(b []byte) ([]byte, error) { return platformfront.Offer(b, e) }, func() { s.late(&offer) })
 	if err != nil {
 		s.opt.Log.Error().Err(err).Msg("an offer can't be sent")
-		s.late(link, task)
+		s.late(&offer)
 	}
 }
 
@@ -350,7 +336,8 @@
 		_, err := s.dialer.Dial(s.life, e.Addr, timeout, &nodePeer{s: s, link: e.Link})
 		if err != nil {
 			s.opt.Log.Debug().Err(err).Str("node", e.Node).Msg("no connection to the node")
-			s.pass(asks.Down{Link: e.Link, Refused: errors.Is(err, syscall.ECONNREFUSED)})
+			down := asks.Down{Link: e.Link, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+			s.box.tell(message{in: []asks.Input{down}})
 		}
 	})
 }
@@ -376,13 +363,14 @@
 	s.cpu = cpu
 }
 
+// close ends everything. What was written reaches the owners before.
 func (s *Scheduler) close() error {
 	s.accept.Stop()
 	s.end()
+	s.part()
 	s.dials.Wait()
 	s.feed.stop()
 	err := s.dialer.Stop()
-	s.passes.Wait()
 	if s.tap != nil {
 		err = errors.Join(err, s.tap.Close())
 	}
@@ -391,3 +379,25 @@
 	}
 	return nil
 }
+
+// part ends the owners' connections from our side and waits a little for them to end from the other. Risk covered: a close
+// with bytes that nobody read is a reset, which may destroy an answer on its way.
+func (s *Scheduler) part() {
+	for _, p := range s.owners {
+		p.conn.CloseWrite()
+	}
+	limit := time.NewTimer(parting)
+	defer limit.Stop()
+	var came []message
+	for len(s.owners) > 0 {
+		select {
+		case <-s.box.ready:
+			came = s.box.take(came[:0], batch)
+			for _, m := range came {
+				s.receive(m, nil)
+			}
+		case <-limit.C:
+			return
+		}
+	}
+}
--- a/internal/platform/site_test.go
+++ b/internal/platform/site_test.go
@@ -77,6 +77,12 @@
 
 // newSite starts a scheduler that knows nodes, and waits until it has called its feed.
 func newSite(t *testing.T, nodes ...string) *site {
+	t.Helper()
+	return newSiteWith(t, testSettings, nodes...)
+}
+
+// newSiteWith is newSite with other settings.
+func newSiteWith(t *testing.T, settings string, nodes ...string) *site {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -86,7 +92,7 @@
 	s := &site{t: t, feed: feedServer(t), addr: ln.Addr().String(), stop: make(chan struct{}), reload: make(chan struct{}),
 		ended: make(chan error, 1), lost: make(ends, 100), path: filepath.Join(dir, "config.json"), tap: filepath.Join(dir, "tap")}
 	_ = ln.Close()
-	s.write(s.feed, testSettings, nodes...)
+	s.write(s.feed, settings, nodes...)
 	go func() {
 		s.ended <- Run(Options{Config: s.path, Tap: s.tap, Log: zerolog.New(s.lost)}, s.stop, s.reload)
 	}()
