Links to nodes are bounded by the descriptors, which are shared out beforehand

Owners could hold three quarters besides, so a flood of idle clients cost nodes and the feed theirs. At fault: asks/node.go keepLink, without a bound; platform.go, shares that add up to more than there is. Change: the process keeps 16, owners get two fifths of the rest, nodes three fifths; links are made for what is asked first, then where tasks stand (linked in turn where nodes are more than links, the longest unheard first, so that none counts as cut), then ahead of time up to seven eighths.

--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -1,6 +1,7 @@
 package asks
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -616,3 +617,74 @@
 		t.Errorf("%+v", f)
 	}
 }
+
+// With more nodes than links: never more than the bound, a node that is asked gets one, and one with tasks of ours is linked
+// often enough to be heard, so that none counts as cut while it lives.
+func TestLinksAreBounded(t *testing.T) {
+	const nodes, most = 24, 10
+	w := newWorld(t, func(c *Config) { c.MaxLinks = most })
+	w.step(Opened{Conn: 1, Host: "h"})
+	var names []string
+	for i := range nodes {
+		names = append(names, fmt.Sprintf("n%02d", i))
+	}
+	w.list(flaxshelf.In, names...)
+	open, seen := map[Link]string{}, map[string]Time{}
+	follow := func() {
+		for len(w.out) > 0 {
+			out := w.out
+			w.out = nil
+			for _, e := range out {
+				switch e := e.(type) {
+				case Dial:
+					open[e.Link], seen[e.Node] = e.Node, w.now
+					w.step(Up{e.Link})
+				case Hang:
+					delete(open, e.Link)
+				case Offer:
+					w.step(Heard{Link: e.Link, Say: SaysAnswer, Task: e.Task, Description: "d"})
+				}
+			}
+		}
+		if len(w.c.links) > most {
+			t.Fatalf("%d links", len(w.c.links))
+		}
+	}
+	follow()
+	if n := len(open); n != most*7/8 {
+		t.Errorf("%d links before anything is asked", n)
+	}
+	for i := range 120 {
+		in := w.ask(1, i, 0)
+		in.Task.Service = fmt.Sprint(i)
+		w.step(in)
+		follow()
+		w.pass(20 * time.Millisecond)
+		follow()
+	}
+	standing := map[string]bool{}
+	for _, n := range w.c.nodes {
+		if len(n.live) > 0 {
+			standing[n.entry.ID] = true
+		}
+	}
+	if f := w.c.Figures(); f.Placed != 120 || len(standing) <= most {
+		t.Fatalf("%+v, tasks stand on %d nodes", f, len(standing))
+	}
+	for range 200 {
+		w.pass(100 * time.Millisecond)
+		follow()
+		for name := range standing {
+			linked := false
+			for _, at := range open {
+				linked = linked || at == name
+			}
+			if !linked && w.now-seen[name] > 6*time.Second {
+				t.Fatalf("%s: without a link since %v", name, w.now-seen[name])
+			}
+		}
+	}
+	if f := w.c.Figures(); f.CutBySilence > 0 || f.Standing != 120 {
+		t.Errorf("%+v", f)
+	}
+}
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -21,6 +21,9 @@
 	Idle    time.Duration
 	Door    connlimit.Limits
 	MaxOpen int // set-ups that may wait for their answer; more are refused
+	// MaxLinks bounds the links to nodes, those that are being made included; 0: no bound. Where nodes are more, links go to
+	// those that are asked, then to those where tasks of ours stand, then to others.
+	MaxLinks int
 	// Tap, when set, is given each step of the module. It must not keep or change the slices.
 	Tap func(now Time, events []flaxshelf.Event, actions []flaxshelf.Action)
 }
@@ -51,7 +54,7 @@
 
 // New makes the core of one scheduler in a new life.
 func New(cfg Config) (*Core, error) {
-	if cfg.Silent <= 0 || cfg.MaxOpen < 1 || cfg.Door.Most < 1 || cfg.Door.Open < 1 || cfg.Door.Silent <= 0 {
+	if cfg.Silent <= 0 || cfg.MaxOpen < 1 || cfg.MaxLinks < 0 || cfg.Door.Most < 1 || cfg.Door.Open < 1 || cfg.Door.Silent <= 0 {
 		return nil, fmt.Errorf("asks: Config: all bounds must be above 0")
 	}
 	p, err := flaxshelf.New(cfg.Module, cfg.Seed)
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -67,7 +67,7 @@
 
 // keepLink dials where no link is there or on its way, and none is waited with.
 func (c *Core) keepLink(n *node) {
-	if !n.wanted() || n.cur != nil && !n.cur.doubted || n.redial != nil && n.redial.Queued() {
+	if !n.wanted() || n.cur != nil && !n.cur.doubted || n.redial != nil && n.redial.Queued() || !c.makeRoom(n) {
 		return
 	}
 	c.lastLink++
@@ -196,11 +196,16 @@
 // names.
 func (c *Core) sweep() {
 	c.timers.After(c.now+sweepEvery, c.sweep)
+	var unlinked []*node
 	for _, n := range c.sortedNodes() {
 		silent := c.now - n.heardAt
 		switch {
+		case c.idles(n.cur) && len(n.live) == 0 && c.crowded():
+			c.hang(n.cur)
 		case c.idles(n.cur):
 			c.doubt(n.cur)
+		case (n.cur == nil || n.cur.doubted) && n.addr != "" && n.fails == 0: // there was no room for a link
+			unlinked = append(unlinked, n)
 		case len(n.live) == 0:
 		case n.cur != nil && n.cur.up && !n.cur.doubted:
 			if silent >= quiet {
@@ -216,6 +221,10 @@
 			}
 		}
 	}
+	slices.SortStableFunc(unlinked, func(a, b *node) int { return cmp.Compare(a.heardAt, b.heardAt) })
+	for _, n := range unlinked {
+		c.keepLink(n)
+	}
 }
 
 // idles tells whether a node may be about to close a link for want of traffic. Risk covered: a set-up that crosses such a
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -94,14 +94,15 @@
 	}
 	runtime.GOMAXPROCS(1) // the platform gives one core or a part of one
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
+	share := divide(cfg.Limits.Sockets)
 	s := &Scheduler{opt: opt, box: newMailbox(inbox), ended: make(chan struct{}),
-		slots:  make(chan struct{}, cfg.Limits.Sockets*3/4),
+		slots:  make(chan struct{}, share.owners),
 		owners: map[asks.Conn]*peer{}, links: map[asks.Link]*peer{}, last: cfg.Last}
 	s.cfg.Store(cfg)
 	s.life, s.end = context.WithCancel(context.Background())
 	defer s.end()
-	core := asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, Idle: cfg.Idle, MaxOpen: maxOpen,
-		Door: connlimit.Limits{Most: cfg.Limits.Sockets * 5 / 8, Silent: mute, Spare: spare, Wrong: 3, Open: maxOpen / 8}}
+	core := asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, Idle: cfg.Idle, MaxOpen: maxOpen, MaxLinks: share.links,
+		Door: connlimit.Limits{Most: share.kept, Silent: mute, Spare: spare, Wrong: 3, Open: maxOpen / 8}}
 	if opt.Tap != "" {
 		if s.tap, err = replay.Create(opt.Tap, cfg.Module, cfg.Seed); err != nil {
 			return err
@@ -125,6 +126,27 @@
 	return s.close()
 }
 
+// descriptors is how a scheduler's descriptors are shared out beforehand, so that owners can never cost us a node, nor
+// either the feed.
+type descriptors struct {
+	owners int // connections of owners that may be accepted
+	kept   int // of which the core keeps so many, and closes one for each more
+	links  int // links to nodes
+}
+
+// ownUse is what the process needs for itself: three standard files, the runtime's and the loop's epoll and event
+// descriptors, the listener, the feed with its next call beside the last, a configuration being read, a recording.
+const ownUse = 16
+
+// divide gives the owners two fifths, a little more than the third that the protocol says they hold at most.
+func divide(sockets int) descriptors {
+	rest := max(sockets-ownUse, 16)
+	d := descriptors{owners: rest * 2 / 5}
+	d.kept = d.owners - max(d.owners/16, 1)
+	d.links = rest - d.owners
+	return d
+}
+
 // own is the owner of the core.
 func (s *Scheduler) own(stop, reload <-chan struct{}) {
 	defer close(s.ended)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -268,6 +268,43 @@
 	}
 }
 
+// Idle clients come without end while the feed is down: the feed, a new node and a test of readiness find their descriptors
+// all the same.
+func TestIdleClientsTakeNobodysDescriptors(t *testing.T) {
+	s, _, c := placed(t)
+	s.feed.Break()
+	for range 300 {
+		s.client()
+	}
+	if last := <-s.feed.Calls; last != "1" {
+		t.Errorf("asked from %s", last)
+	}
+	if !s.client().test() {
+		t.Error("the test was not passed")
+	}
+	n := newNode(t, scripted.Answers)
+	s.feed.Tell(false, scripted.Entry("s-1", "", "leaving"), scripted.Entry("s-2", n.Addr(), "active"))
+	if word := <-n.Conns; word != "came" {
+		t.Error(word)
+	}
+	c.place(3)
+	if m := hear(t, n, nodeparam.SetUp); m.Task != 3 {
+		t.Errorf("%+v", m)
+	}
+}
+
+// The parts of the descriptors are the whole, and owners have the third that the protocol gives them.
+func TestDescriptorsAreDivided(t *testing.T) {
+	for n := 96; n <= 1<<14; n++ {
+		if d := divide(n); d.owners+d.links+ownUse != n || 3*d.kept < n-ownUse || d.kept >= d.owners {
+			t.Fatalf("%d: %+v", n, d)
+		}
+	}
+	if d := divide(32); d.kept < 1 || d.links < 1 || d.owners+d.links > 16 {
+		t.Errorf("%+v", d)
+	}
+}
+
 func TestBadConfiguration(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "c.json")
 	if err := os.WriteFile(path, []byte(`{"listen":"127.0.0.1:0"}`), 0o600); err != nil {
