A node's word on one attempt is never taken for its word on the next

Found by reading, for the pairs 'the time-out against an answer in the socket' and 'a break, an answer and a give-up of one attempt': set-ups of one task carry one id, so a node that is offered it again (the only one left in a key's group) may still speak of the first attempt. At fault: asks/attempt.go heard and over, which matched by node alone; core.go Step, which fired time-outs before it took what had come, so that after a stall answers counted as late. Change: such a second attempt goes on a link of its own, what is said before the answer counts on the attempt's link alone, inputs go before time-outs, and a replaced link goes once the next is up, however late (it stayed for ever where that took over 2 s). Tests, each failing without its part: TestSameNodeTwice (four parts), TestAnswerBeforeItsTimeOut, TestReplacedLinkGoesInTheEnd; TestSilentLinkIsReplaced has two attempts, since the third now doubts the second link too.

--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -495,7 +495,7 @@
 
 // A link that tells nothing after a set-up is replaced by a new one; the old is let go after a while.
 func TestSilentLinkIsReplaced(t *testing.T) {
-	w := newWorld(t)
+	w := newWorld(t, func(c *Config) { c.Module.MaxAttempts = 2 })
 	w.step(Opened{Conn: 1, Host: "h"})
 	w.nodes("n")
 	w.now += time.Second
@@ -513,6 +513,66 @@
 	}
 }
 
+// A link that was replaced goes once a newer one is up, though that takes long.
+func TestReplacedLinkGoesInTheEnd(t *testing.T) {
+	w := newWorld(t, func(c *Config) { c.Module.MaxAttempts = 1 })
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n")
+	w.now += time.Second
+	w.step(w.ask(1, 7, 0))
+	old := one[Offer](w).Link
+	w.pass(3500 * time.Millisecond) // the set-up and its link are given up; the next link is slow
+	w.pass(lingers)
+	none[Hang](w)
+	w.step(Up{w.c.nodes["n"].cur.id})
+	w.pass(lingers)
+	if h := one[Hang](w); h.Link != old {
+		t.Errorf("%+v", h)
+	}
+}
+
+// A task may be offered to the same node again, where no other is left. What the node says of the first attempt is not taken
+// for its word on the second: that one goes on a link of its own.
+func TestSameNodeTwice(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n")
+	w.now += time.Second
+	w.step(w.ask(1, 7, 0))
+	first := one[Offer](w)
+	w.step(Heard{Link: first.Link, Say: SaysRelease, Task: id(99), Cause: CauseFull}) // the link is alive
+	w.pass(first.Left + time.Millisecond)
+	none[Offer](w)
+	w.step(Up{one[Dial](w).Link})
+	second := one[Offer](w)
+	if second.Link == first.Link || second.Attempt != 1 {
+		t.Errorf("%+v after %+v", second, first)
+	}
+	w.step(Heard{Link: first.Link, Say: SaysAnswer, Task: id(7), Description: "late"},
+		Heard{Link: first.Link, Say: SaysRelease, Task: id(7), Cause: CauseCancelled})
+	none[Answer](w)
+	none[Offer](w)
+	w.step(Unsent{Link: second.Link, Task: id(7), Attempt: 0})
+	none[Offer](w)
+	w.step(Heard{Link: second.Link, Say: SaysAnswer, Task: id(7), Description: "node's"})
+	if a := one[Answer](w); a.Description != "node's" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// A process that was stopped for a while finds answers that came in time, and their time-out behind them: they stand.
+func TestAnswerBeforeItsTimeOut(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.nodes("n")
+	w.step(w.ask(1, 7, 0))
+	o := one[Offer](w)
+	w.now += o.Left + time.Second
+	w.step(Heard{Link: o.Link, Say: SaysAnswer, Task: id(7), Description: "node's"})
+	one[Answer](w)
+	none[Cut](w)
+}
+
 // The long day in small: nodes, connections and ids that are always new. The heap of the core and its module is no larger
 // at the end than half way.
 func TestLongDayKeepsItsHeap(t *testing.T) {
--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -50,6 +50,11 @@
 		c.end(a, flaxshelf.NotSent, flaxshelf.Untold)
 		return
 	}
+	// Risk covered: what the node says of an attempt that was given up there names the task alone, and would be taken for the
+	// word on this one; on a link of its own it can be told apart.
+	if n.cur != nil && !n.cur.doubted && n.cur.id <= t.left[n] {
+		c.doubt(n.cur)
+	}
 	if n.cur != nil && n.cur.up && !n.cur.doubted {
 		c.send(a, n.cur)
 		return
@@ -143,7 +148,7 @@
 	switch in.Say {
 	case SaysAnswer:
 		switch {
-		case a != nil && a.phase == offered:
+		case a != nil && a.phase == offered && a.link == l:
 			c.stand(a, in.Description)
 		case a == nil: // late, or nobody's: what it may have started is released
 			c.figures.StaleSays++
@@ -185,6 +190,9 @@
 func (c *Core) over(a *attempt, in Heard) {
 	switch a.phase {
 	case offered:
+		if a.link.id != in.Link {
+			return // of an attempt before this one
+		}
 		v := flaxshelf.Lost
 		switch in.Cause {
 		case CauseFull:
@@ -236,6 +244,9 @@
 	if was == offered {
 		a.link.open--
 		c.count(v)
+		if t.open && (v == flaxshelf.TimedOut || v == flaxshelf.Lost) {
+			t.leave(a.node, a.link.id)
+		}
 	}
 	if a.unlisted {
 		c.figures.Unlisted--
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -73,11 +73,13 @@
 // The effects are good until the next step.
 func (c *Core) Step(now Time, inputs []Input) ([]Effect, Time) {
 	c.now, c.out = max(now, c.now), c.out[:0]
-	c.timers.Fire(c.now)
 	c.follow()
+	// What has come goes before what falls due. Risk covered: a process that was stopped for a while takes answers for late
+	// that were there in time.
 	for _, in := range inputs {
 		c.take(in)
 	}
+	c.timers.Fire(c.now)
 	for range rounds {
 		if c.wakeAt > 0 && c.wakeAt <= c.now {
 			c.wakeAt = 0
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -105,12 +105,22 @@
 		return
 	}
 	l.doubted = true
+	c.retire(l)
+	c.keepLink(l.node)
+}
+
+// retire ends a link a while after it was doubted, once another has taken its place.
+func (c *Core) retire(l *link) {
 	c.timers.After(c.now+lingers, func() {
-		if cur := l.node.cur; c.links[l.id] != nil && cur != l && cur != nil && cur.up {
+		cur := l.node.cur
+		switch {
+		case c.links[l.id] == nil || cur == l && !l.doubted:
+		case cur != l && cur != nil && cur.up:
 			c.hang(l)
+		default:
+			c.retire(l)
 		}
 	})
-	c.keepLink(l.node)
 }
 
 // hang ends a link from our side.
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -45,6 +45,15 @@
 	attempts int
 	live     *attempt
 	handed   bool // it came by Held, and its node has not spoken of it
+	// left has the link of the last attempt at a node that ended without the node's word: such word may still come.
+	left map[*node]Link
+}
+
+func (t *task) leave(n *node, l Link) {
+	if t.left == nil {
+		t.left = map[*node]Link{}
+	}
+	t.left[n] = max(l, t.left[n])
 }
 
 // setUp begins an ask. One whose id is open already is not begun: the first keeps its one answer.
