An end goes where a node's word proved an owner, else where most was handed over

Followed through n2's trace: handed over at 0.049 s on connection 3 (closed at 2.35 s), its end heard at 6.638 s and told at once, on connection 6, which a bad client had opened at 4.868 s and handed one task over on; connection 4, on which a node's word had proved an owner at 2.353 s, was open. At fault: asks/owner.go other, which took the last hand-over for the best evidence, and provedBy, which told the admission but not the core. Change: a node's word of a task handed over counts as a task placed; without any, most hand-overs, the first of them. Tests: TestHandOversKeepTheOnlyConnections (its end), TestMostHandOversAreAnOwners; fail with their parts out.

--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -264,6 +264,26 @@
 	if e := one[Expel](w); e.Conn != 2 {
 		t.Errorf("%+v", e)
 	}
+	w.step(Opened{Conn: 4, Host: "h"}, Held{Conn: 4, Node: "n", Task: w.ask(4, 9, 0).Task}, Held{Conn: 4, Node: "n", Task: w.ask(4, 10, 0).Task})
+	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(8), Cause: CauseGivenUp})
+	if e := one[Over](w); e.Conn != 1 {
+		t.Errorf("the end of what a closed connection handed over: %+v", e)
+	}
+}
+
+// Where no connection has proved to be an owner's, an end goes where most was handed over.
+func TestMostHandOversAreAnOwners(t *testing.T) {
+	w := newWorld(t)
+	w.nodes("n")
+	w.step(Opened{Conn: 1, Host: "h"}, Opened{Conn: 2, Host: "h"}, Opened{Conn: 3, Host: "h"}, Opened{Conn: 4, Host: "h"})
+	for i, conn := range []Conn{1, 2, 3, 3, 4, 4} {
+		w.step(Held{Conn: conn, Node: "n", Task: w.ask(conn, 7+i, 0).Task})
+	}
+	w.step(Closed{Conn: 1})
+	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(7), Cause: CauseGivenUp})
+	if e := one[Over](w); e.Conn != 3 {
+		t.Errorf("%+v", e)
+	}
 }
 
 // The end of a task may come before the hand-over of that task, when both cross a start: its owner hears it all the same.
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -12,8 +12,8 @@
 type owner struct {
 	conn  Conn
 	tasks map[string]*task // that wait for their answer on it; nil before the first
-	shown uint64           // when a task was last placed on it, counted; 0: never
-	gave  uint64           // the same of a task handed over
+	shown uint64           // when it last proved to be an owner's, counted; 0: never
+	gave  int              // tasks handed over on it
 }
 
 func (o *owner) add(t *task) {
@@ -245,21 +245,22 @@
 // maxUnsaid bounds the ends for which no connection is there.
 const maxUnsaid = 4096
 
-// other is the owner's connection on which a task was placed the last; where there is none, the one on which one was handed
-// over the last. Risk covered: bad clients connect from the addresses of owners and hand over what no node holds, and an
-// end that is told to one of them is lost.
+// other is the owner's connection that proved the last to be one; where none did, the one on which most tasks were handed
+// over, the first of them. Risk covered: bad clients connect from the addresses of owners and hand over what no node holds,
+// and an end that is told to one of them is lost.
 func (c *Core) other() *owner {
 	var best *owner
 	for _, o := range c.owners {
-		if (o.shown > 0 || o.gave > 0) &&
-			(best == nil || cmp.Or(cmp.Compare(o.shown, best.shown), cmp.Compare(o.gave, best.gave)) > 0) {
+		if (o.shown > 0 || o.gave > 0) && (best == nil || cmp.Or(cmp.Compare(o.shown, best.shown),
+			cmp.Compare(o.gave, best.gave), cmp.Compare(best.conn, o.conn)) > 0) {
 			best = o
 		}
 	}
 	return best
 }
 
-// showed is for a connection on which a task was placed: it takes along the ends that found none.
+// showed is for a connection on which a task was placed, or handed over that its node has spoken of: it takes along the ends
+// that found none.
 func (c *Core) showed(conn Conn) {
 	if o := c.owners[conn]; o != nil {
 		c.shows++
@@ -272,8 +273,7 @@
 // the node speaks of the task; ends go there where no better one is.
 func (c *Core) gave(conn Conn) {
 	if o := c.owners[conn]; o != nil {
-		c.shows++
-		o.gave = c.shows
+		o.gave++
 		c.door.Vouch(connlimit.ID(conn))
 		c.sayUnsaid(conn)
 	}
@@ -284,6 +284,7 @@
 	if t.handed {
 		t.handed = false
 		c.door.Used(c.now, connlimit.ID(t.conn))
+		c.showed(t.conn)
 	}
 }
 
