An offer is checked at its write against its owner's leaving

Found by reading, for the pair 'cancel between decision and write': after a stall the loop reads that an owner has left, or taken its set-up back, in the very round in which it writes an offer that was decided before; only the drain's grace was checked there. At fault: transport/outbox.go Flush, platform.go putOffer.

--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -180,7 +180,8 @@
 	// Offer writes a set-up.
 	Offer struct {
 		Link                                 Link
-		Attempt                              int // its number among those of the task
+		Attempt                              int  // its number among those of the task
+		Owner                                Conn // whose set-up it is
 		Node, Task, Class, Key, Idem, Detail string
 		Left                                 time.Duration
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -114,7 +114,7 @@
 	nodefront.Task(c.d.set, e, &c.scratch.task)
 	c.scratch.offer.Attempt, c.scratch.offer.ValidForNs = e.Attempt, int64(e.ValidFor)
 	name, attempt := l.name, e.Attempt
-	must(l.box.PutTimed(func(b []byte) ([]byte, error) { return nodeframe.Append(b, &c.scratch.frame) },
+	must(l.box.PutTimed(func(b []byte) ([]byte, error) { return nodeframe.Append(b, &c.scratch.frame) }, nil,
 		func() { c.late(name, attempt) }))
 }
 
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -86,9 +86,15 @@
 			all = append(all, asks.Wrong{Conn: p.id})
 			continue
 		}
-		if input != nil {
-			all = append(all, input)
+		switch input := input.(type) {
+		case nil:
+			continue
+		case asks.Release:
+			p.s.leavers.add(input.Task)
+		case asks.Moved:
+			p.s.leavers.add(input.Task)
 		}
+		all = append(all, input)
 	}
 	if len(all) > 0 && !p.s.box.offer(message{in: all, at: now}) {
 		return used, errFull
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -56,19 +56,20 @@
 
 // Scheduler is a running scheduler. All fields below the channels are the owner's.
 type Scheduler struct {
-	opt    Options
-	dialer *transport.Dialer
-	accept *transport.Acceptor
-	box    *mailbox
-	ended  chan struct{}
-	cfg    atomic.Pointer[platformfront.Config]
-	conns  atomic.Uint64 // owners' connections so far
-	slots  chan struct{} // one for each owner's connection
-	dials  sync.WaitGroup
-	halves atomic.Int64 // owners' connections on which a message has begun and is not whole
-	life   context.Context
-	end    context.CancelFunc
-	cpu    time.Duration
+	opt     Options
+	dialer  *transport.Dialer
+	accept  *transport.Acceptor
+	box     *mailbox
+	ended   chan struct{}
+	cfg     atomic.Pointer[platformfront.Config]
+	conns   atomic.Uint64 // owners' connections so far
+	slots   chan struct{} // one for each owner's connection
+	dials   sync.WaitGroup
+	halves  atomic.Int64 // owners' connections on which a message has begun and is not whole
+	leavers leavers      // the loop's
+	life    context.Context
+	end     context.CancelFunc
+	cpu     time.Duration
 
 	core   *asks.Core
 	tap    *replay.Writer
@@ -335,6 +336,16 @@
 	}
 }
 
+// wanted tells on the loop whether an offer's owner still waits. Risk covered: after a stall the loop reads that an owner has
+// left or given a set-up up in the very round in which it writes an offer that was decided before.
+func (s *Scheduler) wanted(e *asks.Offer) func() bool {
+	var conn *transport.Conn
+	if p := s.owners[e.Owner]; p != nil {
+		conn = p.conn
+	}
+	return func() bool { return conn != nil && !conn.Gone() && !s.leavers.has(e.Task) }
+}
+
 func (s *Scheduler) putOffer(e *asks.Offer) {
 	p, offer := s.links[e.Link], *e
 	if p == nil {
@@ -344,7 +355,8 @@
 	if p.box.Empty() {
 		s.dirty = append(s.dirty, p)
 	}
-	err := p.box.PutTimed(func(b []byte) ([]byte, error) { return platformfront.Offer(b, e) }, func() { s.late(&offer) })
+	err := p.box.PutTimed(func(b []byte) ([]byte, error) { return platformfront.Offer(b, e) }, s.wanted(&offer),
+		func() { s.late(&offer) })
 	if err != nil {
 		s.opt.Log.Error().Err(err).Msg("an offer can't be sent")
 		s.late(&offer)
--- a/internal/platform/site_test.go
+++ b/internal/platform/site_test.go
@@ -39,6 +39,15 @@
 	stop, reload chan struct{}
 	ended        chan error
 	lost         ends
+	hook         func(line string) // is given each line of the log by who writes it, also by the loop
+}
+
+// Write gives a line of the log to the hook and to lost.
+func (s *site) Write(line []byte) (int, error) {
+	if s.hook != nil {
+		s.hook(string(line))
+	}
+	return s.lost.Write(line)
 }
 
 // ends has the log's lines on links that ended; those beyond its room are dropped.
@@ -83,6 +92,13 @@
 
 // newSiteWith is newSite with other settings.
 func newSiteWith(t *testing.T, settings string, nodes ...string) *site {
+	t.Helper()
+	return hookedSite(t, nil, settings, nodes...)
+}
+
+// hookedSite is newSiteWith whose log, each message in it, goes through a hook: a test holds the loop or the owner of the core
+// where it writes a line, and so decides what crosses what.
+func hookedSite(t *testing.T, hook func(line string), settings string, nodes ...string) *site {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -90,11 +106,11 @@
 	}
 	dir := t.TempDir()
 	s := &site{t: t, feed: feedServer(t), addr: ln.Addr().String(), stop: make(chan struct{}), reload: make(chan struct{}),
-		ended: make(chan error, 1), lost: make(ends, 100), path: filepath.Join(dir, "config.json"), tap: filepath.Join(dir, "tap")}
+		ended: make(chan error, 1), lost: make(ends, 100), hook: hook, path: filepath.Join(dir, "config.json"), tap: filepath.Join(dir, "tap")}
 	_ = ln.Close()
 	s.write(s.feed, settings, nodes...)
 	go func() {
-		s.ended <- Run(Options{Config: s.path, Tap: s.tap, Log: zerolog.New(s.lost)}, s.stop, s.reload)
+		s.ended <- Run(Options{Config: s.path, Tap: s.tap, Log: zerolog.New(s)}, s.stop, s.reload)
 	}()
 	t.Cleanup(s.leave)
 	<-s.feed.Calls
--- a/internal/transport/outbox.go
+++ b/internal/transport/outbox.go
@@ -10,6 +10,7 @@
 // timed is a part of an outbox that is only worth writing for a while.
 type timed struct {
 	begin, end int
+	wanted     func() bool
 	late       func()
 }
 
@@ -25,14 +26,14 @@
 	return err
 }
 
-// PutTimed is Put of a part that is dropped where in time is false at its write; late is then called, on the loop or on
-// the owner's goroutine.
-func (o *Outbox) PutTimed(encode func(dst []byte) ([]byte, error), late func()) error {
+// PutTimed is Put of a part that is dropped where, at its write, it is no longer in time or not wanted any more; late is then
+// called, on the loop or on the owner's goroutine. wanted is asked on the loop; nil: always.
+func (o *Outbox) PutTimed(encode func(dst []byte) ([]byte, error), wanted func() bool, late func()) error {
 	begin := len(o.out)
 	if err := o.Put(encode); err != nil {
 		return err
 	}
-	o.timed = append(o.timed, timed{begin, len(o.out), late})
+	o.timed = append(o.timed, timed{begin, len(o.out), wanted, late})
 	return nil
 }
 
@@ -42,16 +43,16 @@
 	out, parts := o.out, o.timed
 	o.out, o.timed = nil, nil
 	sent := c != nil && c.Do(len(out), func(write func([]byte)) {
-		if len(parts) > 0 && !inTime() {
-			at := 0
-			for _, p := range parts {
-				write(out[at:p.begin])
-				p.late()
-				at = p.end
+		at, still := 0, len(parts) == 0 || inTime()
+		for _, p := range parts {
+			if still && (p.wanted == nil || p.wanted()) {
+				continue
 			}
-			out = out[at:]
+			write(out[at:p.begin])
+			p.late()
+			at = p.end
 		}
-		write(out)
+		write(out[at:])
 	})
 	if !sent {
 		for _, p := range parts {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -363,14 +363,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, inTime := range []bool{true, false} {
+	for _, round := range []struct {
+		inTime, wanted bool
+		want           string
+		dropped        int
+	}{{true, true, "abcd", 0}, {false, true, "ad", 2}, {true, false, "acd", 1}} {
+		inTime := round.inTime
 		var o Outbox
 		late := make(chan string, 10)
 		put := func(text string, timed bool) {
 			encode := func(b []byte) ([]byte, error) { return append(b, text+"\n"...), nil }
 			if !timed {
 				_ = o.Put(encode)
-			} else if err := o.PutTimed(encode, func() { late <- text }); err != nil {
+			} else if err := o.PutTimed(encode, func() bool { return round.wanted || text != "b" }, func() { late <- text }); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -379,20 +384,16 @@
 		put("c", true)
 		put("d", false)
 		o.Flush(c, func() bool { return inTime })
-		want, dropped := "abcd", 0
-		if !inTime {
-			want, dropped = "ad", 2
-		}
-		for _, w := range want {
+		for _, w := range round.want {
 			if line := <-got; line != string(w) {
-				t.Errorf("in time %v: %q came, want %q", inTime, line, w)
+				t.Errorf("%+v: %q came, want %q", round, line, w)
 			}
 		}
-		if len(late) != dropped || !o.Empty() {
-			t.Errorf("in time %v: %d told late", inTime, len(late))
+		if len(late) != round.dropped || !o.Empty() {
+			t.Errorf("%+v: %d told late", round, len(late))
 		}
 		put("e", true)
-		if o.Flush(nil, func() bool { return true }); len(late) != dropped+1 {
+		if o.Flush(nil, func() bool { return true }); len(late) != round.dropped+1 {
 			t.Error("without a connection nothing was told late")
 		}
 	}
