A task ended on a node that is cut off keeps its place in the spread until the node lives

Followed through n14's trace: task 703132 stood in cell 8 since 0.966 s, its owner ended it at 6.181 s while its node was cut off, and no release could be written; 1 s later it counted as over; offers to the cell at 8.070 and 8.260 s; the node told of the end of 703132 at 11.247 s only. Excluded: the other two of the service there were counted. At fault: asks/attempt.go endByOwner, which counted a task as over 1 s after its release, written or not. Change: it counts until the node's word, a sign of life after the release, a new link that took it, or the node's silence of 6 s. Test: TestEndedOnANodeThatIsCutOff, fails with either part out.

--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -678,6 +678,41 @@
 	}
 }
 
+// What an owner ends on a node that is cut off still runs there: it counts until a sign of life after its release, until a new
+// link has taken the release, or until the node counts as gone. It is never told.
+func TestEndedOnANodeThatIsCutOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		then  func(w *world, o Offer)
+		after time.Duration
+	}{
+		"a sign of life":  {func(w *world, o Offer) { w.step(Heard{Link: o.Link, Say: SaysReleased, Task: id(99)}) }, endWithin},
+		"a new link":      {func(w *world, _ Offer) { w.step(Up{w.c.nodes["n"].cur.id}) }, endWithin},
+		"nothing further": {func(*world, Offer) {}, 6 * time.Second},
+	} {
+		w := newWorld(t)
+		w.step(Opened{Conn: 1, Host: "h"})
+		w.nodes("n")
+		o := w.place(1, 7, 0)
+		w.step(Release{1, id(7)})
+		one[Cut](w)
+		w.pass(3 * time.Second) // silent for long enough that a newer link is made
+		if f := w.c.Figures(); f.Standing != 1 {
+			t.Errorf("%s: it counts as over while its node is silent", name)
+		}
+		w.now++
+		c.then(w, o)
+		w.pass(c.after)
+		if f := w.c.Figures(); f.Standing != 0 || len(w.c.tasks) != 0 {
+			t.Errorf("%s: %d stand", name, f.Standing)
+		}
+		for _, e := range w.all {
+			if over, ok := e.(Over); ok {
+				t.Errorf("%s: %+v", name, over)
+			}
+		}
+	}
+}
+
 // Tasks handed over on nodes that no list names are bounded, count as cut after a while, and prove no owner.
 func TestHandedOverOnNodesThatAreNone(t *testing.T) {
 	w := newWorld(t)
--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -29,6 +29,8 @@
 	limit    time.Duration
 	timer    *dueheap.Timer
 	unlisted bool // handed over on a node that no list had named
+	cutAt    Time // when its release was written last; 0: never
+	reached  bool // the release went on a link that had just come up
 }
 
 // offer carries out the module's choice.
@@ -108,21 +110,33 @@
 func (c *Core) endByOwner(t *task) {
 	a := t.live
 	a.phase = ending
-	c.cutStanding(a)
-	a.timer = c.timers.After(c.now+endWithin, func() { c.end(a, flaxshelf.Withdrawn, flaxshelf.Untold) })
-}
-
-// endWithin is how long the node's word of a cut is waited for before the task counts as ended all the same.
-const endWithin = time.Second
-
-func (c *Core) cutStanding(a *attempt) {
 	l := a.link
 	if l == nil || !l.up {
 		l = a.node.cur
 	}
 	if l != nil && l.up {
-		c.emit(Cut{l.id, a.task.id, CauseCancelled})
+		c.cut(a, l)
+	}
+	a.timer = c.timers.After(c.now+endWithin, func() { c.ended(a) })
+}
+
+// endWithin is how long the node's word of a cut is waited for before the task counts as ended all the same.
+const endWithin = time.Second
+
+func (c *Core) cut(a *attempt, l *link) {
+	a.cutAt = c.now
+	c.emit(Cut{l.id, a.task.id, CauseCancelled})
+}
+
+// ended counts a task as over that was cut, where its node has shown that it lives since: nodes need not confirm a release.
+// Risk covered: a node that is cut off never gets the release and runs the task on; it holds its place in the spread until a
+// link comes up, or the node counts as gone.
+func (c *Core) ended(a *attempt) {
+	if a.reached || a.cutAt > 0 && a.node.heardAt > a.cutAt {
+		c.end(a, flaxshelf.Withdrawn, flaxshelf.Untold)
+		return
 	}
+	a.timer = c.timers.After(c.now+endWithin, func() { c.ended(a) })
 }
 
 // attemptOn finds what a node may speak of on a link: the attempt of the task at that very node.
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -94,7 +94,8 @@
 		case connecting:
 			c.send(a, l)
 		case ending:
-			c.emit(Cut{l.id, a.task.id, CauseCancelled}) // the former link may have broken before it
+			a.reached = true
+			c.cut(a, l) // the former link may have broken before it
 		}
 	}
 }
