Turns at cold machines use half of the fleet's budget and take what whole shares leave over

Need: the ramp has to hold for the fleet where counts, shares and turns are fractions, and not stay under half of what the settings allow. Seen by a test of 1 to 100 schedulers, all with work: never over the budget, but 0.33 to 0.36 of it where turns are taken (2.2 of 7, 8.9 of 25), 0.38 where a share of 1.75 is cut to 1. Reason for the figures: an offer in one window of the settings belongs to a turn begun within two, so steps of 2 windows / budget are never more than the budget.

--- /dev/null
+++ b/cold_fleet_test.go
@@ -0,0 +1,111 @@
+package flaxshelf
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// coldFleet plays schedulers that all have work for one machine that has just come up; the others of its fleet are full. It
+// returns when offers reached the cold machine, in order. Each scheduler hears of the start at its own time within late, and
+// a part of them starts anew while the machine is cold.
+func coldFleet(t *testing.T, schedulers int, budget float64, restarts bool, seed uint64) (at []Time, c Config) {
+	t.Helper()
+	c = config()
+	c.Schedulers, c.ColdOffers, c.FallWindow, c.ColdFor = schedulers, budget, time.Second, 10*time.Second
+	rng := rand.New(rand.NewPCG(seed, 3))
+	const step = 20 * ms
+	full, cold := Machine{ID: "full", Zone: "a"}, Machine{ID: fmt.Sprint("cold", seed), Zone: "a", Started: 100 * time.Second}
+	type one struct {
+		p      *Placer
+		hears  Time
+		asked  int
+		anew   Time
+		listed bool
+		next   []Event
+	}
+	begin := func(s *one, now Time, seed uint64) {
+		var err error
+		if s.p, err = New(c, seed); err != nil {
+			t.Fatal(err)
+		}
+		s.p.Step(now, []Event{Listed{Whole: true, Machines: []Machine{full}}})
+	}
+	fleet := make([]*one, schedulers)
+	for i := range fleet {
+		s := &one{hears: cold.Started + Time(rng.Int64N(int64(time.Second)))}
+		c.Index = i
+		begin(s, cold.Started-time.Minute, uint64(i))
+		if restarts && rng.IntN(2) == 0 {
+			s.anew = cold.Started + Time(rng.Int64N(int64(c.ColdFor)))
+		}
+		fleet[i] = s
+	}
+	for now := cold.Started; now < cold.Started+c.ColdFor; now += step {
+		for i, s := range fleet {
+			if s.anew > 0 && now >= s.anew {
+				s.anew, s.listed, s.next = 0, false, nil
+				c.Index = i
+				begin(s, now, seed^uint64(now)^uint64(i))
+				s.hears = now
+			}
+			events := s.next
+			s.next = nil
+			if !s.listed && now >= s.hears {
+				s.listed = true
+				events = append(events, Listed{Machines: []Machine{cold}})
+			}
+			if rng.IntN(3) == 0 {
+				s.asked++
+				e := ask(fmt.Sprintf("t%d.%d.%d", i, s.asked, now), 0, now+4*time.Second)
+				e.Task.Service = fmt.Sprint("s", rng.IntN(50))
+				events = append(events, e)
+			}
+			for _, a := range s.p.Step(now, events) {
+				o, ok := a.(Offer)
+				switch {
+				case !ok:
+				case o.Machine == cold.ID:
+					at = append(at, now+Time(rng.Int64N(int64(step))))
+					s.next = append(s.next, Ended{Task: o.Task, Machine: o.Machine, Attempt: 0, Verdict: Finished, Done: true})
+				default:
+					s.next = append(s.next, Ended{Task: o.Task, Machine: o.Machine, Verdict: Refused, Reason: NoCores})
+				}
+			}
+		}
+	}
+	slices.Sort(at)
+	return at, c
+}
+
+// Fourth rule, for the fleet: whatever the counts of schedulers and offers, fractions of a share, restarts within the time in
+// which the machine is cold and words of its start that come at different times, all schedulers together stay within what it
+// always bears; and where work waits at each, they use half of it, less what schedulers started anew don't dare.
+func TestColdBudgetOfTheFleet(t *testing.T) {
+	for _, schedulers := range []int{1, 3, 4, 20, 30, 100} {
+		for _, budget := range []float64{2, 3.5, 7, 12.4, 25} {
+			for seed, restarts := range []bool{false, true} {
+				at, c := coldFleet(t, schedulers, budget, restarts, uint64(seed))
+				worst, first := 0, 0
+				for last := range at {
+					for at[last]-at[first] > c.FallWindow {
+						first++
+					}
+					worst = max(worst, last-first+1)
+				}
+				windows := float64(c.ColdFor-time.Second) / float64(c.FallWindow) // all have heard of it after a second
+				used, least := float64(len(at))/windows, budget/2
+				if restarts {
+					least *= 0.8
+				}
+				if worst > int(math.Ceil(budget)) || used < least {
+					t.Errorf("%d schedulers, %v offers, restarts %v: %d at most in a window, %.2f on average",
+						schedulers, budget, restarts, worst, used)
+				}
+			}
+		}
+	}
+}
