Events that the control feed leaves out are asked for; a former call's end ends no new one

Found by reading, for the pairs 'an end of the old call when a reload has begun a new one' and 'a number gap'. At fault: feed.go, whose FeedDown named no call, so one that waited in the mailbox gave the new call up; heed, which took any later number and lost what lay between, a drain perhaps. Change: word of the feed names its call; a gap is asked for once, whole lists bridge it, and a feed that has not got it either is believed; 16 KiB before the first event at most.

--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -19,22 +19,66 @@
 // quiet is how long the feed may say nothing: a comment comes each second.
 const quiet = 1700 * time.Millisecond
 
+// maxHeader bounds what comes before the first event, in bytes: memory is short.
+const maxHeader = 16 << 10
+
 // connectFeed is how long the feed may take to answer a call.
 const connectFeed = time.Second
 
-// told is an event of the feed on its way to the owner of the core, which knows what it had.
-type told struct {
+// fed is word of the feed on its way to the owner of the core: an event, or that a call stands or has ended.
+type fed struct {
 	asks.Input
-	change platformfront.Change
+	call   int // which call said it
+	change *platformfront.Change
+}
+
+// events is which events of the feed have been taken.
+type events struct {
+	last uint64 // the number of the last one
+	gap  uint64 // the number that was missing when the feed was asked again for it; 0: none was
+	call int    // the call in hand
+}
+
+// verdict is what to do with an event.
+type verdict int
+
+const (
+	had    verdict = iota // taken before, or told by a call that was given up and will be told again
+	taken                 // it is the next one, or says all that those before it said
+	missed                // events before it are missing: the feed is to be asked for them
+)
+
+// take judges event n. One that is missing is asked for once: a feed that does not have it either is believed.
+func (e *events) take(n uint64, whole bool, call int) verdict {
+	next := e.last + 1
+	switch {
+	case n < next, n > next && !whole && call != e.call:
+		return had
+	case n > next && !whole && e.gap != next:
+		e.gap = next
+		return missed
+	}
+	e.last = n
+	return taken
 }
 
-// heed takes an event of the feed once.
-func (s *Scheduler) heed(e told) (asks.Input, bool) {
-	if e.change.N <= s.last {
-		return nil, false
+// heed takes word of the feed; nil: nothing of it is for the core. Risk covered: the end of a call that was given up for
+// another, or for another address, has the new one given up too.
+func (s *Scheduler) heed(in fed) asks.Input {
+	if in.change == nil {
+		if in.call != s.events.call {
+			return nil
+		}
+		return in.Input
+	}
+	switch s.events.take(in.change.N, in.change.Listed.Whole, in.call) {
+	case taken:
+		return in.change.Listed
+	case missed:
+		s.opt.Log.Info().Uint64("missing", s.events.last+1).Uint64("came", in.change.N).Msg("the control feed left events out: asked again")
+		s.feed.ask(s.cfg.Load().Feed, s.events.last)
 	}
-	s.last = e.change.N
-	return e.change.Listed, true
+	return nil
 }
 
 // feed reads the control feed, one call at a time. ask and stop are the owner's.
@@ -53,22 +97,24 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
+	f.s.events.call++
+	call := f.s.events.call
 	f.wg.Add(1)
 	go func() {
 		defer f.wg.Done()
 		defer cancel()
-		err := f.call(ctx, cancel, addr, last)
+		err := f.call(ctx, cancel, call, addr, last)
 		if ctx.Err() != nil && !errors.Is(err, errQuiet) {
 			return // given up for another call
 		}
 		f.s.opt.Log.Info().Err(err).Str("feed", addr).Msg("the control feed has ended")
-		f.pass(asks.FeedDown{})
+		f.pass(fed{Input: asks.FeedDown{}, call: call})
 	}()
 }
 
 var errQuiet = errors.New("platform: the control feed says nothing")
 
-func (f *feed) call(ctx context.Context, cancel func(), addr string, last uint64) error {
+func (f *feed) call(ctx context.Context, cancel func(), n int, addr string, last uint64) error {
 	var silent atomic.Bool
 	watch := time.AfterFunc(connectFeed, func() { silent.Store(true); cancel() })
 	defer watch.Stop()
@@ -80,7 +126,7 @@
 	}
 	dialer := &net.Dialer{Timeout: connectFeed}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true,
-		Proxy: nil, DisableCompression: true}}
+		Proxy: nil, DisableCompression: true, MaxResponseHeaderBytes: maxHeader}}
 	defer client.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/events", nil)
 	if err != nil {
@@ -96,14 +142,14 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("platform: control feed: status %s", res.Status)
 	}
-	f.pass(asks.FeedUp{})
+	f.pass(fed{Input: asks.FeedUp{}, call: n})
 	var d eventstream.Decoder
 	buf := make([]byte, 4096)
 	for {
 		watch.Reset(quiet)
-		n, err := res.Body.Read(buf)
-		if n > 0 {
-			if err := d.Write(buf[:n], f.take); err != nil {
+		got, err := res.Body.Read(buf)
+		if got > 0 {
+			if err := d.Write(buf[:got], func(e eventstream.Event) error { return f.take(n, e) }); err != nil {
 				return err
 			}
 		}
@@ -113,12 +159,12 @@
 	}
 }
 
-func (f *feed) take(e eventstream.Event) error {
+func (f *feed) take(call int, e eventstream.Event) error {
 	change, err := f.s.cfg.Load().Change(e.Data)
 	if err != nil {
 		return err
 	}
-	f.pass(told{change: change})
+	f.pass(fed{call: call, change: &change})
 	return nil
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -77,7 +77,7 @@
 	links  map[asks.Link]*peer
 	dirty  []*peer
 	feed   *feed
-	last   uint64 // number of the last event of the feed
+	events events // of the feed
 }
 
 // peer is a connection with what a step has for it.
@@ -98,7 +98,7 @@
 	share := divide(cfg.Limits.Sockets)
 	s := &Scheduler{opt: opt, box: newMailbox(inbox), ended: make(chan struct{}),
 		slots:  make(chan struct{}, share.owners),
-		owners: map[asks.Conn]*peer{}, links: map[asks.Link]*peer{}, last: cfg.Last}
+		owners: map[asks.Conn]*peer{}, links: map[asks.Link]*peer{}, events: events{last: cfg.Last}}
 	s.cfg.Store(cfg)
 	s.life, s.end = context.WithCancel(context.Background())
 	defer s.end()
@@ -241,8 +241,8 @@
 	var fresh []platformfront.Change
 	for _, raw := range file.Raw {
 		e, err := old.Change(raw)
-		if err == nil && e.N > s.last {
-			s.last = e.N
+		if err == nil && e.N > s.events.last {
+			s.events.last = e.N
 			fresh = append(fresh, e)
 		}
 	}
@@ -251,8 +251,8 @@
 		all = append(all, list)
 	}
 	s.cfg.Store(&cfg)
-	s.opt.Log.Info().Str("feed", cfg.Feed).Str("former", old.Feed).Uint64("event", s.last).Msg("configuration read again")
-	s.feed.ask(cfg.Feed, s.last)
+	s.opt.Log.Info().Str("feed", cfg.Feed).Str("former", old.Feed).Uint64("event", s.events.last).Msg("configuration read again")
+	s.feed.ask(cfg.Feed, s.events.last)
 	return all
 }
 
@@ -268,8 +268,8 @@
 			s.links[in.Link] = &peer{conn: m.conn}
 		case asks.Down:
 			delete(s.links, in.Link)
-		case told:
-			if e, fresh := s.heed(in); fresh {
+		case fed:
+			if e := s.heed(in); e != nil {
 				inputs = append(inputs, e)
 			}
 			continue
@@ -323,7 +323,7 @@
 				expelled = append(expelled, p.conn)
 			}
 		case asks.Subscribe:
-			s.feed.ask(s.cfg.Load().Feed, s.last)
+			s.feed.ask(s.cfg.Load().Feed, s.events.last)
 		}
 	}
 	limit := s.cfg.Load().Module.DrainGrace / 2
@@ -393,7 +393,7 @@
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
 	cpu := time.Duration(u.Utime.Nano() + u.Stime.Nano())
 	s.opt.Log.Info().Interface("figures", f).Int64("heap_kb", int64(m.HeapAlloc>>10)).Int64("sys_kb", int64(m.Sys>>10)).
-		Int64("rss_kb", u.Maxrss).Dur("cpu", cpu-s.cpu).Int("owners", len(s.slots)).Uint64("event", s.last).Msg("figures")
+		Int64("rss_kb", u.Maxrss).Dur("cpu", cpu-s.cpu).Int("owners", len(s.slots)).Uint64("event", s.events.last).Msg("figures")
 	s.cpu = cpu
 }
 
--- a/internal/platform/site_test.go
+++ b/internal/platform/site_test.go
@@ -130,9 +130,15 @@
 
 // write writes the configuration.
 func (s *site) write(feed *scripted.Feed, settings string, nodes ...string) {
+	s.t.Helper()
+	s.writeFeed(feed.Addr(), settings, nodes...)
+}
+
+// writeFeed is write with the address of a feed.
+func (s *site) writeFeed(feed, settings string, nodes ...string) {
 	s.t.Helper()
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1f","feed":%q,"limits":{"cores":0.5,"memory_mb":64,"sockets":128},
-"known":{"n":1,"events":[%s]},"settings":%s}`, s.addr, feed.Addr(), scripted.Event(1, true, nodes...), settings)
+"known":{"n":1,"events":[%s]},"settings":%s}`, s.addr, feed, scripted.Event(1, true, nodes...), settings)
 	if err := os.WriteFile(s.path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
