Lists that tell free room are read on the platform; names are those of the settings as written

Seen: on serra-alta (settings: the list tells free room) tasks waited for room that was there. Where the settings promise it and no entry has it, the module is told that nothing is told. Second: names with spaces or commas were looked up as the bench's pairs write them; as written goes first now, the other form stays.

--- a/internal/front/platformfront/feed.go
+++ b/internal/front/platformfront/feed.go
@@ -14,6 +14,7 @@
 type Change struct {
 	N      uint64
 	Listed asks.Listed
+	Free   bool // entries tell what is free on their nodes
 }
 
 var states = map[string]flaxshelf.State{"active": flaxshelf.In, "leaving": flaxshelf.Draining, "left": flaxshelf.Out}
@@ -28,6 +29,7 @@
 				ID, Addr, Zone, Kind, State string
 				Cell                        int
 				StartedMS                   float64 `json:"started_ms"`
+				Unasked                     []float64 // cores and memory that nobody has asked for, where the list tells them
 			}
 		}
 	}
@@ -48,8 +50,12 @@
 		if !ok {
 			kind = -1
 		}
-		e.Listed.Machines = append(e.Listed.Machines, flaxshelf.Machine{ID: s.ID, Kind: kind, Zone: s.Zone, Cell: s.Cell,
-			State: state, Started: time.Duration(s.StartedMS * float64(time.Millisecond))})
+		m := flaxshelf.Machine{ID: s.ID, Kind: kind, Zone: s.Zone, Cell: s.Cell, State: state,
+			Started: time.Duration(s.StartedMS * float64(time.Millisecond))}
+		if len(s.Unasked) >= 2 {
+			m.FreeCores, m.FreeMemory, e.Free = s.Unasked[0], s.Unasked[1], true
+		}
+		e.Listed.Machines = append(e.Listed.Machines, m)
 		e.Listed.Addrs = append(e.Listed.Addrs, s.Addr)
 	}
 	return e, nil
--- a/internal/front/platformfront/settings.go
+++ b/internal/front/platformfront/settings.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: field settings: %w", ErrConfig, err)
 	}
-	if c.Module, c.Names, err = benchhost.Settings(pairs); err != nil {
+	if c.Module, _, err = benchhost.Settings(pairs); err != nil {
 		return nil, fmt.Errorf("%w: field settings: %w", ErrConfig, err)
 	}
 	var caps struct {
@@ -100,6 +100,9 @@
 		return bad("settings.caps.conn_idle_ns", "a time in nanoseconds", caps.Caps.Idle)
 	}
 	c.Idle = time.Duration(caps.Caps.Idle)
+	if c.Names, err = rawNames(w.Settings); err != nil {
+		return nil, fmt.Errorf("%w: field settings: %w", ErrConfig, err)
+	}
 	for i, raw := range w.Known.Events {
 		e, err := c.Change(raw)
 		if err != nil {
@@ -107,9 +110,52 @@
 		}
 		c.Known, c.Raw = append(c.Known, e), append(c.Raw, raw)
 	}
+	// Risk covered: a list that was to tell what is free and does not would make every node look full.
+	c.Module.ListsFree = c.Module.ListsFree && slices.ContainsFunc(c.Known, func(e Change) bool { return e.Free })
 	return c, nil
 }
 
+// rawNames are the names as owners and the feed write them. Risk covered: names with a space or a comma, which the bench's
+// pairs can't hold.
+func rawNames(settings json.RawMessage) (*benchhost.Names, error) {
+	type named []struct{ Name string }
+	var w struct {
+		Kinds      []string
+		Categories named
+		Customers  named
+	}
+	if err := json.Unmarshal(settings, &w); err != nil {
+		return nil, err
+	}
+	index := func(what string, all []string) (map[string]int, error) {
+		out := make(map[string]int, len(all))
+		for i, name := range all {
+			if _, again := out[name]; again || name == "" {
+				return nil, fmt.Errorf("%s[%d]: the name %q is empty or there twice", what, i, name)
+			}
+			out[name] = i
+		}
+		for i, name := range all { // the bench's pairs write it so; a name of its own goes before
+			if _, own := out[word(name)]; !own {
+				out[word(name)] = i
+			}
+		}
+		return out, nil
+	}
+	of := func(all named) (out []string) {
+		for _, x := range all {
+			out = append(out, x.Name)
+		}
+		return out
+	}
+	n := &benchhost.Names{}
+	var err [3]error
+	n.Kind, err[0] = index("kinds", w.Kinds)
+	n.Class, err[1] = index("categories", of(w.Categories))
+	n.Tenant, err[2] = index("customers", of(w.Customers))
+	return n, errors.Join(err[:]...)
+}
+
 // flatten writes a nested object as the path=value pairs of the bench's first message.
 func flatten(raw json.RawMessage) ([]string, error) {
 	d := json.NewDecoder(strings.NewReader(string(raw)))
