--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -28,10 +28,9 @@
 	sent     Time
 	limit    time.Duration
 	timer    *dueheap.Timer
-	unlisted bool           // handed over on a node that no list had named
-	cutAt    Time           // when its release was written last; 0: never
-	reached  bool           // the release went on a link that had just come up
-	load     flaxshelf.Load // of the node, as it told with the end
+	unlisted bool // handed over on a node that no list had named
+	cutAt    Time // when its release was written last; 0: never
+	reached  bool // the release went on a link that had just come up
 }
 
 // offer carries out the module's choice.
@@ -208,7 +207,6 @@
 		if a.link.id != in.Link {
 			return // of an attempt before this one
 		}
-		a.load = in.Load
 		v := flaxshelf.Lost
 		switch in.Cause {
 		case CauseFull:
@@ -220,7 +218,6 @@
 		}
 		c.end(a, v, in.Reason)
 	case standing:
-		a.load = in.Load
 		v := flaxshelf.Lost
 		switch in.Cause {
 		case CauseGivenUp:
@@ -234,7 +231,6 @@
 		c.countEnd(v, in.Reason)
 		c.end(a, v, in.Reason)
 	case ending:
-		a.load = in.Load
 		v := flaxshelf.Withdrawn
 		if in.Cause == CauseGivenUp {
 			v = flaxshelf.Finished
@@ -279,7 +275,7 @@
 	delete(a.node.live, t.id)
 	t.live = nil
 	c.tell(flaxshelf.Ended{Task: t.id, Machine: a.node.entry.ID, Attempt: a.n, Verdict: v, Reason: r,
-		Done: was >= standing, Lag: c.now - a.sent, Load: a.load})
+		Done: was >= standing, Lag: c.now - a.sent})
 	c.forget(t)
 	c.letGo(a.node)
 }
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -91,7 +91,6 @@
 		Task        string
 		Cause       int
 		Reason      flaxshelf.Reason
-		Load        flaxshelf.Load // of the node, with a release
 		Kind        flaxshelf.NoteKind
 		Amount      float64
 		Description string
--- a/internal/codec/nodeparam/message.go
+++ b/internal/codec/nodeparam/message.go
@@ -36,7 +36,6 @@
 	codeLeft        = 181
 	codeKey         = 184
 	codeWord        = 187
-	codeLoad        = 189
 	codeFigure      = 192
 	codeIdem        = 193
 	codeCause       = 194
@@ -49,7 +48,6 @@
 	Task        uint64
 	Cause       int // -1 where none came along
 	Word        string
-	Load        string // a report of the node's load, on what ends an attempt
 	Figure      string
 	Class       string
 	Left        string // milliseconds
@@ -112,8 +110,6 @@
 		m.Key = string(value)
 	case codeWord:
 		m.Word = string(value)
-	case codeLoad:
-		m.Load = string(value)
 	case codeFigure:
 		m.Figure = string(value)
 	case codeIdem:
@@ -137,8 +133,8 @@
 	for _, p := range [...]struct {
 		code byte
 		text string
-	}{{codeClass, m.Class}, {codeLeft, m.Left}, {codeKey, m.Key}, {codeWord, m.Word}, {codeLoad, m.Load},
-		{codeFigure, m.Figure}, {codeIdem, m.Idem}} {
+	}{{codeClass, m.Class}, {codeLeft, m.Left}, {codeKey, m.Key}, {codeWord, m.Word}, {codeFigure, m.Figure},
+		{codeIdem, m.Idem}} {
 		if p.text != "" {
 			dst = appendText(dst, p.code, p.text)
 		}
--- a/internal/front/platformfront/node.go
+++ b/internal/front/platformfront/node.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"strconv"
-	"strings"
 	"time"
 
 	"flaxshelf.example/flaxshelf"
@@ -37,7 +36,7 @@
 		if m.Cause < 0 {
 			return nil, fmt.Errorf("%w: a release without a cause", nodeparam.ErrSpoilt)
 		}
-		in.Say, in.Load = asks.SaysRelease, load(m.Load)
+		in.Say = asks.SaysRelease
 	case nodeparam.Released:
 		in.Say = asks.SaysReleased
 	case nodeparam.Note:
@@ -53,24 +52,6 @@
 	return in, nil
 }
 
-// load reads a report, name:value pairs. One that can't be read tells nothing: the release that it came with stands.
-func load(s string) (l flaxshelf.Load) {
-	for pair := range strings.SplitSeq(s, ";") {
-		name, value, _ := strings.Cut(pair, ":")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
-			continue
-		}
-		switch name {
-		case "x0":
-			l.Told, l.FreeCores, l.HasCores = true, x, true
-		case "x1":
-			l.Told, l.FreeMemory, l.HasMemory = true, x, true
-		}
-	}
-	return l
-}
-
 // Offer encodes a set-up for a node.
 func Offer(dst []byte, e *asks.Offer) ([]byte, error) {
 	id, err := strconv.ParseUint(e.Task, 16, 64)
