--- a/internal/codec/eventstream/stream.go
+++ b/internal/codec/sse/stream.go
@@ -1,6 +1,6 @@
-// Package eventstream owns the bytes of server-sent events as the platform's control feed writes them. It must not
+// Package sse owns the bytes of server-sent events as the platform's control feed writes them. It must not
 // decide anything or keep a connection.
-package eventstream
+package sse
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 const MaxEvent = 1 << 20
 
 // ErrTooLong is returned for an event over MaxEvent.
-var ErrTooLong = errors.New("eventstream: event over the limit")
+var ErrTooLong = errors.New("sse: event over the limit")
 
 // Event is one whole event. An event that breaks off is never seen.
 type Event struct {
--- a/internal/codec/eventstream/stream_test.go
+++ b/internal/codec/sse/stream_test.go
@@ -1,4 +1,4 @@
-package eventstream
+package sse
 
 import (
 	"errors"
--- a/internal/front/platformfront/feed.go
+++ b/internal/front/platformfront/feed.go
@@ -28,7 +28,7 @@
 			Servers []struct {
 				ID, Addr, Zone, Kind, State string
 				Cell                        int
-				StartedMS                   float64 `json:"started_ms"`
+				StartedMS                   float64   `json:"started_ms"`
 				Unasked                     []float64 // cores and memory that nobody has asked for, where the list tells them
 			}
 		}
--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"flaxshelf.example/flaxshelf/internal/asks"
-	"flaxshelf.example/flaxshelf/internal/codec/eventstream"
+	"flaxshelf.example/flaxshelf/internal/codec/sse"
 	"flaxshelf.example/flaxshelf/internal/front/platformfront"
 )
 
@@ -143,13 +143,13 @@
 		return fmt.Errorf("platform: control feed: status %s", res.Status)
 	}
 	f.pass(fed{Input: asks.FeedUp{}, call: n})
-	var d eventstream.Decoder
+	var d sse.Decoder
 	buf := make([]byte, 4096)
 	for {
 		watch.Reset(quiet)
 		got, err := res.Body.Read(buf)
 		if got > 0 {
-			if err := d.Write(buf[:got], func(e eventstream.Event) error { return f.take(n, e) }); err != nil {
+			if err := d.Write(buf[:got], func(e sse.Event) error { return f.take(n, e) }); err != nil {
 				return err
 			}
 		}
@@ -159,7 +159,7 @@
 	}
 }
 
-func (f *feed) take(call int, e eventstream.Event) error {
+func (f *feed) take(call int, e sse.Event) error {
 	change, err := f.s.cfg.Load().Change(e.Data)
 	if err != nil {
 		return err
