--- a/internal/asks/attempt.go
+++ b/internal/asks/attempt.go
@@ -54,10 +54,10 @@
 	}
 	// Risk covered: what the node says of an attempt that was given up there names the task alone, and would be taken for the
 	// word on this one; on a link of its own it can be told apart.
-	if n.cur != nil && !n.cur.doubted && n.cur.id <= t.left[n] {
-		c.doubt(n.cur)
+	if n.cur != nil && !n.cur.suspected && n.cur.id <= t.left[n] {
+		c.suspect(n.cur)
 	}
-	if n.cur != nil && n.cur.up && !n.cur.doubted {
+	if n.cur != nil && n.cur.up && !n.cur.suspected {
 		c.send(a, n.cur)
 		return
 	}
@@ -83,13 +83,13 @@
 	a.timer = c.timers.After(c.now+left, func() { c.timeOut(a) })
 }
 
-// timeOut gives an attempt up. A link that has told nothing since the set-up went out is doubted: a machine that is cut
+// timeOut gives an attempt up. A link that has told nothing since the set-up went out is suspected: a machine that is cut
 // off, or a peer that has lost its place in the stream, gives no other sign.
 func (c *Core) timeOut(a *attempt) {
 	l := a.link
 	c.emit(Cut{l.id, a.task.id, CauseGivenUp})
 	if l.heardAt < a.sent {
-		c.doubt(l)
+		c.suspect(l)
 	}
 	c.end(a, flaxshelf.TimedOut, flaxshelf.Untold)
 }
--- a/internal/asks/node.go
+++ b/internal/asks/node.go
@@ -24,13 +24,13 @@
 
 // link is a connection to a node.
 type link struct {
-	id      Link
-	node    *node
-	up      bool
-	doubted bool // silent where it should have told something: a newer one takes its place
-	open    int  // set-ups out on it
-	heardAt Time
-	usedAt  Time // the last word either way, or its coming up
+	id        Link
+	node      *node
+	up        bool
+	suspected bool // silent where it should have told something: a newer one takes its place
+	open      int  // set-ups out on it
+	heardAt   Time
+	usedAt    Time // the last word either way, or its coming up
 }
 
 const (
@@ -67,7 +67,7 @@
 
 // keepLink dials where no link is there or on its way, and none is waited with.
 func (c *Core) keepLink(n *node) {
-	if !n.wanted() || n.cur != nil && !n.cur.doubted || n.redial != nil && n.redial.Queued() || !c.makeRoom(n) {
+	if !n.wanted() || n.cur != nil && !n.cur.suspected || n.redial != nil && n.redial.Queued() || !c.makeRoom(n) {
 		return
 	}
 	c.lastLink++
@@ -100,22 +100,22 @@
 	}
 }
 
-// doubt has a newer link take l's place. What is open on l may still be answered there for a while.
-func (c *Core) doubt(l *link) {
-	if l.doubted || c.links[l.id] == nil {
+// suspect has a newer link take l's place. What is open on l may still be answered there for a while.
+func (c *Core) suspect(l *link) {
+	if l.suspected || c.links[l.id] == nil {
 		return
 	}
-	l.doubted = true
+	l.suspected = true
 	c.retire(l)
 	c.keepLink(l.node)
 }
 
-// retire ends a link a while after it was doubted, once another has taken its place.
+// retire ends a link a while after it was suspected, once another has taken its place.
 func (c *Core) retire(l *link) {
 	c.timers.After(c.now+lingers, func() {
 		cur := l.node.cur
 		switch {
-		case c.links[l.id] == nil || cur == l && !l.doubted:
+		case c.links[l.id] == nil || cur == l && !l.suspected:
 		case cur != l && cur != nil && cur.up:
 			c.hang(l)
 		default:
@@ -214,14 +214,14 @@
 		case c.idles(n.cur) && len(n.live) == 0 && c.crowded():
 			c.hang(n.cur)
 		case c.idles(n.cur):
-			c.doubt(n.cur)
-		case (n.cur == nil || n.cur.doubted) && n.addr != "" && n.fails == 0: // there was no room for a link
+			c.suspect(n.cur)
+		case (n.cur == nil || n.cur.suspected) && n.addr != "" && n.fails == 0: // there was no room for a link
 			unlinked = append(unlinked, n)
 		case len(n.live) == 0:
-		case n.cur != nil && n.cur.up && !n.cur.doubted:
+		case n.cur != nil && n.cur.up && !n.cur.suspected:
 			if silent >= quiet {
-				c.figures.Doubted++
-				c.doubt(n.cur)
+				c.figures.Suspected++
+				c.suspect(n.cur)
 			}
 		case silent >= c.cfg.Silent:
 			for _, a := range n.sorted() {
@@ -241,7 +241,7 @@
 // idles tells whether a node may be about to close a link for want of traffic. Risk covered: a set-up that crosses such a
 // close counts as one that may have run, so the link is renewed ahead of it.
 func (c *Core) idles(l *link) bool {
-	return l != nil && l.up && !l.doubted && c.cfg.Idle > 0 && c.now-l.usedAt >= c.cfg.Idle*3/4
+	return l != nil && l.up && !l.suspected && c.cfg.Idle > 0 && c.now-l.usedAt >= c.cfg.Idle*3/4
 }
 
 // standingLink is the newest link of a node that is up; nil where none is.
@@ -260,9 +260,9 @@
 func (c *Core) keepOld(n *node, old *link, refused bool) {
 	n.cur = old
 	if refused {
-		n.heardAt, old.doubted = c.now, false
+		n.heardAt, old.suspected = c.now, false
 	} else {
-		n.redial = c.timers.After(c.now+redialMost, func() { c.keepLink(n) }) // old is doubted on
+		n.redial = c.timers.After(c.now+redialMost, func() { c.keepLink(n) }) // old is suspected on
 	}
 	for _, a := range n.sorted() {
 		if a.phase == connecting {
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -219,5 +219,5 @@
 	// Owners' connections closed, and set-ups over the bounds.
 	Expelled, TooMany uint64
 	// Links that broke or were replaced for silence; answers that were late or nobody's.
-	LinksBroken, Doubted, StaleSays uint64
+	LinksBroken, Suspected, StaleSays uint64
 }
--- a/internal/lab/planrun/trace.go
+++ b/internal/lab/planrun/trace.go
@@ -66,7 +66,7 @@
 		k.Services = len(services)
 		k.Life = seen.Seconds() / float64(max(ends, 1))
 		k.Within = 2 * math.Sqrt(1/float64(len(jobs))+1/float64(max(ends, 1)))
-		k.doubt(t, length, ends)
+		k.suspect(t, length, ends)
 		all = append(all, k)
 	}
 	slices.SortFunc(all, func(a, b Captured) int { return cmp.Compare(a.Name, b.Name) })
@@ -80,7 +80,7 @@
 	return other
 }
 
-func (k *Captured) doubt(t *load.Trace, length time.Duration, ends int) {
+func (k *Captured) suspect(t *load.Trace, length time.Duration, ends int) {
 	say := func(format string, args ...any) { k.Doubts = append(k.Doubts, fmt.Sprintf(format, args...)) }
 	if k.Jobs < few {
 		say("only %d jobs were captured", k.Jobs)
