--- a/internal/asks/early.go
+++ b/internal/asks/early.go
@@ -55,7 +55,7 @@
 		return false
 	}
 	c.door.Used(c.now, connlimit.ID(in.Conn))
-	c.figures.Retold++
+	c.figures.HandedOver++
 	c.figures.Ended++
 	if end.cause != CauseCancelled {
 		c.emit(Over{Conn: in.Conn, Task: in.Task.ID, Cause: end.cause})
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -108,7 +108,7 @@
 	c.tasks[t.id] = t
 	n.live[t.id] = t.live
 	c.figures.Standing++
-	c.figures.Retold++
+	c.figures.HandedOver++
 	c.tell(flaxshelf.Running{Task: t.spec, Machine: in.Node})
 	c.keepLink(n)
 }
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -212,8 +212,8 @@
 	// Final answers, set-ups taken back, offers made.
 	Placed, Refused, Failed, GivenUp, Offers uint64
 	// Tasks handed over, and standing tasks that are over: by their node's word and why, or without it.
-	Retold, Ended, Finished, Evicted, PushedOut, CutByNode uint64
-	CutByDeath, CutBySilence, CutByList                    uint64
+	HandedOver, Ended, Finished, Evicted, PushedOut, CutByNode uint64
+	CutByDeath, CutBySilence, CutByList                        uint64
 	// Offers that were not placed.
 	FullOffers, ErrorOffers, LateOffers, LostOffers, Unreached uint64
 	// Owners' connections closed, and set-ups over the bounds.
