--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -240,7 +240,7 @@
 		t.Errorf("%+v", e)
 	}
 	w.pass(3 * time.Second)
-	if e := one[Expel](w); e.Conn != 3 {
+	if e := one[Close](w); e.Conn != 3 {
 		t.Errorf("%+v", e)
 	}
 }
@@ -253,7 +253,7 @@
 	w.step(Opened{Conn: 1, Host: "h"}, Opened{Conn: 2, Host: "h"}, Opened{Conn: 3, Host: "h"})
 	w.step(Held{Conn: 1, Node: "n", Task: w.ask(1, 7, 0).Task}, Held{Conn: 2, Node: "n", Task: w.ask(2, 8, 0).Task})
 	w.pass(3 * time.Second)
-	if e := one[Expel](w); e.Conn != 3 {
+	if e := one[Close](w); e.Conn != 3 {
 		t.Errorf("%+v", e)
 	}
 	w.step(Heard{Link: w.up["n"], Say: SaysRelease, Task: id(7), Cause: CauseGivenUp})
@@ -261,7 +261,7 @@
 		t.Errorf("%+v", e)
 	}
 	w.pass(time.Second) // a node has spoken of what 1 handed over, and of nothing else
-	if e := one[Expel](w); e.Conn != 2 {
+	if e := one[Close](w); e.Conn != 2 {
 		t.Errorf("%+v", e)
 	}
 	w.step(Opened{Conn: 4, Host: "h"}, Held{Conn: 4, Node: "n", Task: w.ask(4, 9, 0).Task}, Held{Conn: 4, Node: "n", Task: w.ask(4, 10, 0).Task})
@@ -656,12 +656,12 @@
 }
 
 // A connection that goes on sending what makes no sense is closed.
-func TestWrongOnesAreExpelled(t *testing.T) {
+func TestWrongOnesAreClosed(t *testing.T) {
 	w := newWorld(t)
 	w.step(Opened{Conn: 1, Host: "h"}, Wrong{1}, Wrong{1})
-	none[Expel](w)
+	none[Close](w)
 	w.step(Wrong{1})
-	one[Expel](w)
+	one[Close](w)
 }
 
 // A cut whose link broke under it is said again on the next one.
@@ -724,7 +724,7 @@
 		t.Errorf("%+v", f)
 	}
 	w.pass(3 * time.Second)
-	if f := w.c.Figures(); f.Expelled != 1 {
+	if f := w.c.Figures(); f.ConnsClosed != 1 {
 		t.Errorf("%+v", f)
 	}
 	w.pass(5 * time.Second)
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -136,7 +136,7 @@
 		c.closed(in.Conn)
 	case Wrong:
 		if c.door.Wrong(connlimit.ID(in.Conn)) {
-			c.expel(in.Conn)
+			c.closeOwner(in.Conn)
 		}
 	case Up:
 		c.up(in.Link)
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -153,7 +153,7 @@
 func (c *Core) opened(in Opened) {
 	c.owners[in.Conn] = &owner{conn: in.Conn}
 	for _, id := range c.door.Came(c.now, connlimit.ID(in.Conn), in.Host) {
-		c.expel(Conn(id))
+		c.closeOwner(Conn(id))
 	}
 	if c.silence == nil || !c.silence.Queued() {
 		c.silent()
@@ -164,18 +164,18 @@
 func (c *Core) silent() {
 	gone, next := c.door.Silent(c.now)
 	for _, id := range gone {
-		c.expel(Conn(id))
+		c.closeOwner(Conn(id))
 	}
 	if next > 0 {
 		c.silence = c.timers.After(next, c.silent)
 	}
 }
 
-// expel closes an owner's connection. Set-ups that are open on it are given up: its close tells the owner so.
-func (c *Core) expel(conn Conn) {
-	c.figures.Expelled++
+// closeOwner closes an owner's connection. Set-ups that are open on it are given up: its close tells the owner so.
+func (c *Core) closeOwner(conn Conn) {
+	c.figures.ConnsClosed++
 	c.closed(conn)
-	c.emit(Expel{conn})
+	c.emit(Close{conn})
 }
 
 // released is an owner's release: before the answer the set-up is given up, after it the task ends.
--- a/internal/asks/property_test.go
+++ b/internal/asks/property_test.go
@@ -191,7 +191,7 @@
 			c.say(c.linkSource(e.Link), Up{e.Link})
 		case Hang:
 			delete(c.links, e.Link)
-		case Expel:
+		case Close:
 			c.conns = slices.DeleteFunc(c.conns, func(x Conn) bool { return x == e.Conn })
 			for task, a := range c.asked {
 				if a.conn == e.Conn {
--- a/internal/asks/types.go
+++ b/internal/asks/types.go
@@ -168,8 +168,8 @@
 		Task   string
 		Passed bool
 	}
-	// Expel closes an owner's connection, after what was written on it.
-	Expel struct{ Conn Conn }
+	// Close closes an owner's connection, after what was written on it.
+	Close struct{ Conn Conn }
 	// Dial has a connection to a node made; Up or Down follows.
 	Dial struct {
 		Link       Link
@@ -198,7 +198,7 @@
 func (Answer) effect()    {}
 func (Over) effect()      {}
 func (Pong) effect()      {}
-func (Expel) effect()     {}
+func (Close) effect()     {}
 func (Dial) effect()      {}
 func (Hang) effect()      {}
 func (Offer) effect()     {}
@@ -217,7 +217,7 @@
 	// Offers that were not placed.
 	FullOffers, ErrorOffers, LateOffers, LostOffers, Unreached uint64
 	// Owners' connections closed, and set-ups over the bounds.
-	Expelled, TooMany uint64
+	ConnsClosed, TooMany uint64
 	// Links that broke or were replaced for silence; answers that were late or nobody's.
 	LinksBroken, Suspected, StaleSays uint64
 }
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -14,8 +14,8 @@
 )
 
 var (
-	errFull     = errors.New("platform: too much waits for the core")
-	errExpelled = errors.New("platform: the connection had to go")
+	errFull   = errors.New("platform: too much waits for the core")
+	errClosed = errors.New("platform: the connection had to go")
 )
 
 // half tells whether a message has begun and is not whole.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -297,7 +297,7 @@
 			s.opt.Log.Error().Err(err).Msg("a message can't be sent")
 		}
 	}
-	var expelled []*transport.Conn
+	var closing []*transport.Conn
 	for _, e := range effects {
 		switch e := e.(type) {
 		case asks.Answer:
@@ -317,10 +317,10 @@
 				delete(s.links, e.Link)
 				p.conn.Close(transport.ErrStopping)
 			}
-		case asks.Expel:
+		case asks.Close:
 			if p := s.owners[e.Conn]; p != nil {
 				delete(s.owners, e.Conn)
-				expelled = append(expelled, p.conn)
+				closing = append(closing, p.conn)
 			}
 		case asks.Subscribe:
 			s.feed.ask(s.cfg.Load().Feed, s.events.last)
@@ -331,8 +331,8 @@
 		p.box.Flush(p.conn, func() bool { return clock.Now()-now < limit })
 	}
 	s.dirty = s.dirty[:0]
-	for _, c := range expelled { // after what was written on them
-		c.Close(errExpelled)
+	for _, c := range closing { // after what was written on them
+		c.Close(errClosed)
 	}
 }
 
