--- a/internal/connlimit/limit.go
+++ b/internal/admission/admission.go
@@ -1,7 +1,7 @@
-// Package connlimit owns the decision which of the owners' connections are closed: when descriptors run short, when one
+// Package admission owns the decision which of the owners' connections are closed: when descriptors run short, when one
 // stays silent, and when one asks for more than its share. It is free of I/O and clocks, and must not know what owners
 // ask for.
-package connlimit
+package admission
 
 import (
 	"container/list"
@@ -37,8 +37,8 @@
 	element *list.Element
 }
 
-// Door decides. It is not safe for concurrent use.
-type Door struct {
+// Control decides. It is not safe for concurrent use.
+type Control struct {
 	limits  Limits
 	all     map[ID]*entry
 	strange list.List      // in order of their coming
@@ -46,17 +46,17 @@
 	hosts   map[string]int // strangers of each host
 }
 
-// New makes a door.
-func New(l Limits) *Door {
-	return &Door{limits: l, all: map[ID]*entry{}, hosts: map[string]int{}}
+// New makes a Control.
+func New(l Limits) *Control {
+	return &Control{limits: l, all: map[ID]*entry{}, hosts: map[string]int{}}
 }
 
 // Len is how many connections are there.
-func (d *Door) Len() int { return len(d.all) }
+func (d *Control) Len() int { return len(d.all) }
 
 // Came books a new connection and returns those to close for it; it may be the new one itself, where all others are of
 // use. What is returned counts as gone.
-func (d *Door) Came(now Time, id ID, host string) []ID {
+func (d *Control) Came(now Time, id ID, host string) []ID {
 	e := &entry{id: id, host: host, came: now, used: now}
 	d.all[id] = e
 	e.element = d.strange.PushBack(e)
@@ -76,7 +76,7 @@
 // victim is who goes when descriptors run short: the oldest stranger of the host that has most of them, else the one
 // with nothing open that was of use the longest ago. Risk covered: hundreds of connections that say nothing must not
 // push out the owners, nor a newcomer that is about to speak.
-func (d *Door) victim(now Time) *entry {
+func (d *Control) victim(now Time) *entry {
 	var best *entry
 	most := 1 // a host with one stranger is as good as any owner
 	for x := d.strange.Front(); x != nil; x = x.Next() {
@@ -106,7 +106,7 @@
 
 // Used books that a connection was of use: it carried a set-up that had its answer, a test, a task that stands or the end
 // of one. A set-up alone is not enough: bad clients send hundreds and take them back at once.
-func (d *Door) Used(now Time, id ID) {
+func (d *Control) Used(now Time, id ID) {
 	e := d.all[id]
 	if e == nil {
 		return
@@ -122,14 +122,14 @@
 }
 
 // Vouch books that a connection carried what owners carry, though it proves none.
-func (d *Door) Vouch(id ID) {
+func (d *Control) Vouch(id ID) {
 	if e := d.all[id]; e != nil {
 		e.vouched = true
 	}
 }
 
 // unstrange takes e from the strangers.
-func (d *Door) unstrange(e *entry) {
+func (d *Control) unstrange(e *entry) {
 	d.strange.Remove(e.element)
 	if d.hosts[e.host]--; d.hosts[e.host] == 0 {
 		delete(d.hosts, e.host)
@@ -137,7 +137,7 @@
 }
 
 // Wrong books a message that was of no use; true: the connection is to be closed.
-func (d *Door) Wrong(id ID) bool {
+func (d *Control) Wrong(id ID) bool {
 	e := d.all[id]
 	if e == nil {
 		return false
@@ -147,7 +147,7 @@
 }
 
 // Open books a set-up; false: it is one too many there.
-func (d *Door) Open(id ID) bool {
+func (d *Control) Open(id ID) bool {
 	e := d.all[id]
 	if e == nil || e.open >= d.limits.Open {
 		return false
@@ -157,7 +157,7 @@
 }
 
 // Shut books that a set-up has its answer, or was given up.
-func (d *Door) Shut(now Time, id ID, answered bool) {
+func (d *Control) Shut(now Time, id ID, answered bool) {
 	if e := d.all[id]; e != nil && e.open > 0 {
 		e.open--
 		if answered {
@@ -167,7 +167,7 @@
 }
 
 // Gone books that a connection has ended.
-func (d *Door) Gone(id ID) {
+func (d *Control) Gone(id ID) {
 	e := d.all[id]
 	if e == nil {
 		return
@@ -183,7 +183,7 @@
 // Silent returns the connections that have said nothing of use for too long, and when to ask next; 0: not before one
 // comes. What is returned counts as gone. A vouched one stays while none is known to be of use. Risk covered: a scheduler
 // started anew would close all that its owners have, and then have nobody to tell of an end.
-func (d *Door) Silent(now Time) (out []ID, next Time) {
+func (d *Control) Silent(now Time) (out []ID, next Time) {
 	waits := false // one stays for now, and is looked at again
 	for x := d.strange.Front(); x != nil; {
 		e := x.Value.(*entry)
--- a/internal/connlimit/limit_test.go
+++ b/internal/admission/admission_test.go
@@ -1,4 +1,4 @@
-package connlimit
+package admission
 
 import (
 	"fmt"
@@ -10,13 +10,13 @@
 
 const ms = time.Millisecond
 
-func door() *Door {
+func control() *Control {
 	return New(Limits{Most: 4, Silent: 2 * time.Second, Spare: 200 * ms, Wrong: 2, Open: 2})
 }
 
 // Hundreds of connections that say nothing push out each other, not those that were of use.
 func TestSilentOnesGoFirst(t *testing.T) {
-	d := door()
+	d := control()
 	d.Came(0, 1, "owner")
 	d.Used(ms, 1)
 	d.Came(2*ms, 2, "newcomer")
@@ -34,7 +34,7 @@
 
 // Where all are of use the one that was so the longest ago goes, never one with something open or used just now.
 func TestLeastLatelyUsed(t *testing.T) {
-	d := door()
+	d := control()
 	for i := range ID(4) {
 		d.Came(Time(i)*ms, i+1, "h")
 		d.Used(Time(i)*ms, i+1)
@@ -55,7 +55,7 @@
 }
 
 func TestSilence(t *testing.T) {
-	d := door()
+	d := control()
 	d.Came(0, 1, "h")
 	d.Came(100*ms, 2, "h")
 	d.Used(200*ms, 1)
@@ -70,7 +70,7 @@
 // A stranger is not closed while its set-up waits; answered it is an owner, taken back it is as silent as before.
 func TestSilenceOfSetUps(t *testing.T) {
 	for _, answered := range []bool{true, false} {
-		d := door()
+		d := control()
 		d.Came(0, 1, "h")
 		d.Open(1)
 		if out, next := d.Silent(3 * time.Second); len(out) > 0 || next != 3250*ms {
@@ -84,7 +84,7 @@
 }
 
 func TestBoundsOfOne(t *testing.T) {
-	d := door()
+	d := control()
 	d.Came(0, 1, "h")
 	for n := range 3 {
 		if d.Wrong(1) != (n == 2) {
@@ -108,7 +108,7 @@
 // gone.
 func TestAnyOrder(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	d, now, last := door(), Time(0), ID(0)
+	d, now, last := control(), Time(0), ID(0)
 	open := map[ID]int{}
 	for range 20000 {
 		now += Time(rng.IntN(int(50 * ms)))
--- a/internal/asks/asks_test.go
+++ b/internal/asks/asks_test.go
@@ -644,7 +644,7 @@
 // Set-ups over a bound, of all or of one connection, are refused at once, and nothing of them reaches the module.
 func TestTooManyAreRefused(t *testing.T) {
 	for name, change := range map[string]func(*Config){
-		"of all": func(c *Config) { c.MaxOpen = 2 }, "of one connection": func(c *Config) { c.Door.Open = 2 }} {
+		"of all": func(c *Config) { c.MaxOpen = 2 }, "of one connection": func(c *Config) { c.Admission.Open = 2 }} {
 		w := newWorld(t, change)
 		w.step(Opened{Conn: 1, Host: "h"})
 		w.nodes("n")
--- a/internal/asks/core.go
+++ b/internal/asks/core.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"flaxshelf.example/flaxshelf"
-	"flaxshelf.example/flaxshelf/internal/connlimit"
+	"flaxshelf.example/flaxshelf/internal/admission"
 	"flaxshelf.example/flaxshelf/internal/dueheap"
 )
 
@@ -18,9 +18,9 @@
 	// within 8 s of an end of which no word could come.
 	Silent time.Duration
 	// Idle is after how long without traffic nodes close a connection; 0: not told.
-	Idle    time.Duration
-	Door    connlimit.Limits
-	MaxOpen int // set-ups that may wait for their answer; more are refused
+	Idle      time.Duration
+	Admission admission.Limits
+	MaxOpen   int // set-ups that may wait for their answer; more are refused
 	// MaxLinks bounds the links to nodes, those that are being made included; 0: no bound. Where nodes are more, links go to
 	// those that are asked, then to those where tasks of ours stand, then to others.
 	MaxLinks int
@@ -30,31 +30,31 @@
 
 // Core is the state machine of one scheduler on the platform. It is not safe for concurrent use.
 type Core struct {
-	cfg      Config
-	placer   *flaxshelf.Placer
-	now      Time
-	wakeAt   Time // when the module wants to be woken; 0: not
-	events   []flaxshelf.Event
-	out      []Effect
-	tasks    map[string]*task
-	owners   map[Conn]*owner
-	door     *connlimit.Door
-	silence  *dueheap.Timer // of the next owner's connection that says nothing
-	nodes    map[string]*node
-	links    map[Link]*link
-	lastLink Link
-	shows    uint64
-	unsaid   []*Over // ends that no connection could be found for
-	early    earlyEnds
-	timers   dueheap.Timers
-	feed     feed
-	stopping bool
-	figures  Figures
+	cfg       Config
+	placer    *flaxshelf.Placer
+	now       Time
+	wakeAt    Time // when the module wants to be woken; 0: not
+	events    []flaxshelf.Event
+	out       []Effect
+	tasks     map[string]*task
+	owners    map[Conn]*owner
+	admission *admission.Control
+	silence   *dueheap.Timer // of the next owner's connection that says nothing
+	nodes     map[string]*node
+	links     map[Link]*link
+	lastLink  Link
+	shows     uint64
+	unsaid    []*Over // ends that no connection could be found for
+	early     earlyEnds
+	timers    dueheap.Timers
+	feed      feed
+	stopping  bool
+	figures   Figures
 }
 
 // New makes the core of one scheduler in a new life.
 func New(cfg Config) (*Core, error) {
-	if cfg.Silent <= 0 || cfg.MaxOpen < 1 || cfg.MaxLinks < 0 || cfg.Door.Most < 1 || cfg.Door.Open < 1 || cfg.Door.Silent <= 0 {
+	if cfg.Silent <= 0 || cfg.MaxOpen < 1 || cfg.MaxLinks < 0 || cfg.Admission.Most < 1 || cfg.Admission.Open < 1 || cfg.Admission.Silent <= 0 {
 		return nil, fmt.Errorf("asks: Config: all bounds must be above 0")
 	}
 	p, err := flaxshelf.New(cfg.Module, cfg.Seed)
@@ -62,7 +62,7 @@
 		return nil, fmt.Errorf("asks: module settings: %w", err)
 	}
 	return &Core{cfg: cfg, placer: p, tasks: map[string]*task{}, owners: map[Conn]*owner{},
-		door: connlimit.New(cfg.Door), nodes: map[string]*node{},
+		admission: admission.New(cfg.Admission), nodes: map[string]*node{},
 		links: map[Link]*link{}, feed: feed{rng: rand.New(rand.NewPCG(cfg.Seed, 1))}}, nil
 }
 
@@ -127,7 +127,7 @@
 		c.released(in.Conn, in.Task)
 	case Tested:
 		if o := c.owners[in.Conn]; o != nil {
-			c.door.Used(c.now, connlimit.ID(in.Conn))
+			c.admission.Used(c.now, admission.ID(in.Conn))
 			c.emit(Pong{in.Conn, in.Task, !c.stopping})
 		}
 	case Opened:
@@ -135,7 +135,7 @@
 	case Closed:
 		c.closed(in.Conn)
 	case Wrong:
-		if c.door.Wrong(connlimit.ID(in.Conn)) {
+		if c.admission.Wrong(admission.ID(in.Conn)) {
 			c.closeOwner(in.Conn)
 		}
 	case Up:
--- a/internal/asks/early.go
+++ b/internal/asks/early.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"flaxshelf.example/flaxshelf/internal/connlimit"
+	"flaxshelf.example/flaxshelf/internal/admission"
 )
 
 // earlyEnds are releases of tasks that nobody has told of yet. Risk covered: after a start a node's link may come up, and
@@ -54,7 +54,7 @@
 	if !ok {
 		return false
 	}
-	c.door.Used(c.now, connlimit.ID(in.Conn))
+	c.admission.Used(c.now, admission.ID(in.Conn))
 	c.figures.HandedOver++
 	c.figures.Ended++
 	if end.cause != CauseCancelled {
--- a/internal/asks/owner.go
+++ b/internal/asks/owner.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"flaxshelf.example/flaxshelf"
-	"flaxshelf.example/flaxshelf/internal/connlimit"
+	"flaxshelf.example/flaxshelf/internal/admission"
 )
 
 // owner is a connection of owners.
@@ -68,7 +68,7 @@
 		}
 		return
 	}
-	if c.figures.Open >= c.cfg.MaxOpen || !c.door.Open(connlimit.ID(in.Conn)) {
+	if c.figures.Open >= c.cfg.MaxOpen || !c.admission.Open(admission.ID(in.Conn)) {
 		c.figures.TooMany++
 		c.emit(Over{in.Conn, in.Task.ID, CauseFull, false}) // nothing of it has run
 		return
@@ -146,13 +146,13 @@
 	if o := c.owners[t.conn]; o != nil {
 		delete(o.tasks, t.id)
 	}
-	c.door.Shut(c.now, connlimit.ID(t.conn), answered)
+	c.admission.Shut(c.now, admission.ID(t.conn), answered)
 }
 
 // opened takes an owner's connection in. Others may have to go for it.
 func (c *Core) opened(in Opened) {
 	c.owners[in.Conn] = &owner{conn: in.Conn}
-	for _, id := range c.door.Came(c.now, connlimit.ID(in.Conn), in.Host) {
+	for _, id := range c.admission.Came(c.now, admission.ID(in.Conn), in.Host) {
 		c.closeOwner(Conn(id))
 	}
 	if c.silence == nil || !c.silence.Queued() {
@@ -162,7 +162,7 @@
 
 // silent closes the connections that say nothing.
 func (c *Core) silent() {
-	gone, next := c.door.Silent(c.now)
+	gone, next := c.admission.Silent(c.now)
 	for _, id := range gone {
 		c.closeOwner(Conn(id))
 	}
@@ -182,7 +182,7 @@
 func (c *Core) released(conn Conn, id string) {
 	t := c.tasks[id]
 	if t != nil && !t.open {
-		c.door.Used(c.now, connlimit.ID(conn))
+		c.admission.Used(c.now, admission.ID(conn))
 	}
 	switch {
 	case t == nil:
@@ -217,7 +217,7 @@
 		return
 	}
 	delete(c.owners, conn)
-	c.door.Gone(connlimit.ID(conn))
+	c.admission.Gone(admission.ID(conn))
 	for _, t := range o.sorted() {
 		c.giveUp(t)
 	}
@@ -269,12 +269,12 @@
 	}
 }
 
-// gave is for a connection on which a task was handed over. That proves no owner, so it stays a stranger to the door, until
+// gave is for a connection on which a task was handed over. That proves no owner, so it stays a stranger to admission, until
 // the node speaks of the task; ends go there where no better one is.
 func (c *Core) gave(conn Conn) {
 	if o := c.owners[conn]; o != nil {
 		o.gave++
-		c.door.Vouch(connlimit.ID(conn))
+		c.admission.Vouch(admission.ID(conn))
 		c.sayUnsaid(conn)
 	}
 }
@@ -283,7 +283,7 @@
 func (c *Core) provedBy(t *task) {
 	if t.handed {
 		t.handed = false
-		c.door.Used(c.now, connlimit.ID(t.conn))
+		c.admission.Used(c.now, admission.ID(t.conn))
 		c.showed(t.conn)
 	}
 }
--- a/internal/asks/property_test.go
+++ b/internal/asks/property_test.go
@@ -297,7 +297,7 @@
 	}
 	f := c.world.c.Figures()
 	if f.Open != 0 || f.Standing != 0 || f.Unlisted != 0 || f.Owners != 0 || f.Nodes != 0 || f.Links != 0 ||
-		len(c.world.c.tasks) != 0 || c.world.c.door.Len() != 0 {
-		c.t.Errorf("left: %+v, %d tasks, %d connections", f, len(c.world.c.tasks), c.world.c.door.Len())
+		len(c.world.c.tasks) != 0 || c.world.c.admission.Len() != 0 {
+		c.t.Errorf("left: %+v, %d tasks, %d connections", f, len(c.world.c.tasks), c.world.c.admission.Len())
 	}
 }
--- a/internal/asks/script_test.go
+++ b/internal/asks/script_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"flaxshelf.example/flaxshelf"
-	"flaxshelf.example/flaxshelf/internal/connlimit"
+	"flaxshelf.example/flaxshelf/internal/admission"
 )
 
 // world is a core with a clock that the test moves and a node that it plays.
@@ -38,7 +38,7 @@
 func newWorld(t *testing.T, change ...func(*Config)) *world {
 	t.Helper()
 	cfg := Config{Module: settings(), Seed: 1, Silent: 6 * time.Second, MaxOpen: 100,
-		Door: connlimit.Limits{Most: 10, Silent: 2 * time.Second, Spare: 200 * time.Millisecond, Wrong: 2, Open: 50}}
+		Admission: admission.Limits{Most: 10, Silent: 2 * time.Second, Spare: 200 * time.Millisecond, Wrong: 2, Open: 50}}
 	for _, f := range change {
 		f(&cfg)
 	}
--- a/internal/front/platformfront/others_test.go
+++ b/internal/front/platformfront/others_test.go
@@ -10,9 +10,9 @@
 	"testing"
 	"time"
 
+	"flaxshelf.example/flaxshelf/internal/admission"
 	"flaxshelf.example/flaxshelf/internal/asks"
 	"flaxshelf.example/flaxshelf/internal/codec/ownerline"
-	"flaxshelf.example/flaxshelf/internal/connlimit"
 )
 
 // customer is a deployment drawn at random: its configuration, and the names in it.
@@ -101,7 +101,7 @@
 		t.Fatalf("%v\n%s", err, c.text)
 	}
 	core, err := asks.New(asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: 6 * time.Second, Idle: cfg.Idle, MaxOpen: 100,
-		Door: connlimit.Limits{Most: 10, Silent: time.Second, Spare: time.Millisecond, Wrong: 3, Open: 50}})
+		Admission: admission.Limits{Most: 10, Silent: time.Second, Spare: time.Millisecond, Wrong: 3, Open: 50}})
 	if err != nil {
 		t.Fatalf("%v\n%s", err, c.text)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -17,9 +17,9 @@
 
 	"github.com/rs/zerolog"
 
+	"flaxshelf.example/flaxshelf/internal/admission"
 	"flaxshelf.example/flaxshelf/internal/asks"
 	"flaxshelf.example/flaxshelf/internal/clock"
-	"flaxshelf.example/flaxshelf/internal/connlimit"
 	"flaxshelf.example/flaxshelf/internal/front/platformfront"
 	"flaxshelf.example/flaxshelf/internal/replay"
 	"flaxshelf.example/flaxshelf/internal/transport"
@@ -103,7 +103,7 @@
 	s.life, s.end = context.WithCancel(context.Background())
 	defer s.end()
 	core := asks.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, Idle: cfg.Idle, MaxOpen: maxOpen, MaxLinks: share.links,
-		Door: connlimit.Limits{Most: share.kept, Silent: mute, Spare: spare, Wrong: 3, Open: maxOpen / 8}}
+		Admission: admission.Limits{Most: share.kept, Silent: mute, Spare: spare, Wrong: 3, Open: maxOpen / 8}}
 	if opt.Tap != "" {
 		if s.tap, err = replay.Create(opt.Tap, cfg.Module, cfg.Seed); err != nil {
 			return err
