--- a/internal/lab/removal/removal.go
+++ b/internal/lab/ablation/ablation.go
@@ -1,6 +1,6 @@
-// Package removal owns what each bar of the module is worth: emulated days are played again with one of them taken out,
+// Package ablation owns what each bar of the module is worth: emulated days are played again with one of them taken out,
 // and the rules' checker or a paired comparison says what that did. It must not decide anything about placement.
-package removal
+package ablation
 
 import (
 	"context"
--- a/internal/lab/removal/removal_test.go
+++ b/internal/lab/ablation/ablation_test.go
@@ -1,4 +1,4 @@
-package removal
+package ablation
 
 import (
 	"context"
@@ -42,10 +42,10 @@
 	}
 }
 
-// TestMatrix plays every bar out against every day, and prints the tables of docs/removal.md. It takes minutes and is for
+// TestMatrix plays every bar out against every day, and prints the tables of docs/ablation.md. It takes minutes and is for
 // a person to run:
 //
-//	FLAXSHELF_MATRIX=20 go test -v -run Matrix -timeout 30m ./internal/lab/removal
+//	FLAXSHELF_MATRIX=20 go test -v -run Matrix -timeout 30m ./internal/lab/ablation
 //
 // FLAXSHELF_DAYS names some days only.
 func TestMatrix(t *testing.T) {
--- a/internal/lab/removal/overload_test.go
+++ b/internal/lab/ablation/overload_test.go
@@ -1,4 +1,4 @@
-package removal
+package ablation
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 // TestOverloadOrder sets the order among tasks that wait beside another: of equals the one that came last first. It plays
 // minutes of overload and is for a person to run, as TestMatrix:
 //
-//	FLAXSHELF_MATRIX=20 go test -v -run OverloadOrder ./internal/lab/removal
+//	FLAXSHELF_MATRIX=20 go test -v -run OverloadOrder ./internal/lab/ablation
 func TestOverloadOrder(t *testing.T) {
 	if os.Getenv("FLAXSHELF_MATRIX") == "" {
 		t.Skip("set FLAXSHELF_MATRIX to play it")
