--- a/internal/lab/former/main_test.go
+++ b/internal/lab/reference/main_test.go
@@ -1,4 +1,4 @@
-package former_test
+package reference_test
 
 import (
 	"flag"
--- a/internal/lab/former/state.go
+++ b/internal/lab/reference/state.go
@@ -1,4 +1,4 @@
-package former
+package reference
 
 import (
 	"cmp"
