--- a/test.sh
+++ b/test.sh
@@ -23,7 +23,18 @@
 inward=$(go list -f '{{$p := .ImportPath}}{{range .Imports}}{{$p}} imports {{.}}{{"\n"}}{{end}}' . ./internal/... ./drmaa2 |
 	grep -v '^[^ ]*/internal/lab/' | grep 'imports .*/internal/lab/' || true)
 if [ -n "$inward" ]; then echo "$inward"; exit 1; fi
-go test ./...
-go test -race ./internal/transport ./internal/platform ./internal/lab/wiretap ./internal/daemon ./internal/lab/standin/...
-go test -race -run "Determinism|Resume" ./internal/lab/emulator ./internal/lab/experiment
+# Tests that fail for a fault that is known and not mended yet are run apart and printed: three at most, each has to fail.
+skip='^$'
+red=$(grep -v '^#' KNOWN-RED.txt | grep -c '[^[:space:]]' || true)
+if [ "$red" -gt 3 ]; then echo "KNOWN-RED.txt lists $red tests, 3 at most"; exit 1; fi
+while read -r name package cause; do
+	case $name in '' | '#'*) continue ;; esac
+	if ! go test -list "^$name\$" "$package" | grep -qx "$name"; then echo "known red: $package has no $name"; exit 1; fi
+	if go test -count=1 -run "^$name\$" "$package"; then echo "known red, but passes: $name in $package"; exit 1; fi
+	echo "KNOWN RED: $name in $package: $cause"
+	skip="$skip|^$name\$"
+done <KNOWN-RED.txt
+go test -skip "$skip" ./...
+go test -skip "$skip" -race ./internal/transport ./internal/platform ./internal/lab/wiretap ./internal/daemon ./internal/lab/standin/...
+go test -skip "$skip" -race -run "Determinism|Resume" ./internal/lab/emulator ./internal/lab/experiment
 echo "policy files: $lines lines"
