Late links, nodes replaced at their address and two reloads in a moment have tests

Three pairs of the issue's list that had none: TestLinkComesUpLate, TestHandedOverOnANodeThatWasReplaced, TestTwoReloads.

--- a/internal/platform/feed.go
+++ b/internal/platform/feed.go
@@ -75,7 +75,8 @@
 	case taken:
 		return in.change.Listed
 	case missed:
-		s.opt.Log.Info().Uint64("missing", s.events.last+1).Uint64("came", in.change.N).Msg("the control feed left events out: asked again")
+		s.opt.Log.Info().Uint64("missing", s.events.last+1).Uint64("came", in.change.N).
+			Msg("the control feed left events out: asked again")
 		s.feed.ask(s.cfg.Load().Feed, s.events.last)
 	}
 	return nil
--- a/internal/platform/leave_test.go
+++ b/internal/platform/leave_test.go
@@ -155,3 +155,26 @@
 	}
 	unheard(t, old, nodeparam.SetUp)
 }
+
+// Two files within a moment: the second one's feed is followed, from the first one's last event on.
+func TestTwoReloads(t *testing.T) {
+	s, old, c := placed(t)
+	first, second := feedServer(t), feedServer(t)
+	entry := scripted.Entry("s-1", old.Addr(), "active")
+	s.write(first, testSettings, entry)
+	s.reload <- struct{}{}
+	s.write(second, testSettings, entry)
+	s.reload <- struct{}{}
+	if last := <-second.Calls; last != "1" {
+		t.Errorf("asked from %s", last)
+	}
+	n := newNode(t, scripted.Answers)
+	second.Tell(false, scripted.Entry("s-1", old.Addr(), "leaving"), scripted.Entry("s-2", n.Addr(), "active"))
+	if word := <-n.Conns; word != "came" { // the event has been taken
+		t.Error(word)
+	}
+	for i := range 4 {
+		c.place(3 + i)
+	}
+	unheard(t, old, nodeparam.SetUp)
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,7 +104,8 @@
 	s.cfg.Store(cfg)
 	s.life, s.end = context.WithCancel(context.Background())
 	defer s.end()
-	core := requests.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, Idle: cfg.Idle, MaxOpen: maxOpen, MaxLinks: share.links,
+	core := requests.Config{Module: cfg.Module, Seed: cfg.Seed, Silent: silent, Idle: cfg.Idle, MaxOpen: maxOpen,
+		MaxLinks:  share.links,
 		Admission: admission.Limits{Most: share.kept, Silent: mute, Spare: spare, Wrong: 3, Open: maxOpen / 8}}
 	if opt.Tap != "" {
 		if s.tap, err = replay.Create(opt.Tap, cfg.Module, cfg.Seed); err != nil {
@@ -238,7 +239,8 @@
 	cfg := *old
 	cfg.Feed = file.Feed
 	if !reflect.DeepEqual(file.Module, old.Module) {
-		s.opt.Log.Error().Msg("the new configuration has other settings, those of the start stay; its feed and nodes are followed")
+		s.opt.Log.Error().
+			Msg("the new configuration has other settings, those of the start stay; its feed and nodes are followed")
 	}
 	var fresh []platformfront.Change
 	for _, raw := range file.Raw {
--- a/internal/requests/attempt.go
+++ b/internal/requests/attempt.go
@@ -78,7 +78,8 @@
 	t := a.task
 	a.phase, a.link, l.usedAt = offered, l, c.now
 	l.open++
-	c.emit(Offer{Link: l.id, Attempt: a.n, Owner: t.conn, Node: a.node.entry.ID, Task: t.id, Class: t.class, Key: t.spec.Key, Idem: t.idem,
+	c.emit(Offer{Link: l.id, Attempt: a.n, Owner: t.conn, Node: a.node.entry.ID, Task: t.id,
+		Class: t.class, Key: t.spec.Key, Idem: t.idem,
 		Detail: t.detail, Left: left})
 	a.timer = c.timers.After(c.now+left, func() { c.timeOut(a) })
 }
--- a/internal/requests/core.go
+++ b/internal/requests/core.go
@@ -54,7 +54,8 @@
 
 // New makes the core of one scheduler in a new life.
 func New(cfg Config) (*Core, error) {
-	if cfg.Silent <= 0 || cfg.MaxOpen < 1 || cfg.MaxLinks < 0 || cfg.Admission.Most < 1 || cfg.Admission.Open < 1 || cfg.Admission.Silent <= 0 {
+	if cfg.Silent <= 0 || cfg.MaxOpen < 1 || cfg.MaxLinks < 0 ||
+		cfg.Admission.Most < 1 || cfg.Admission.Open < 1 || cfg.Admission.Silent <= 0 {
 		return nil, fmt.Errorf("requests: Config: all bounds must be above 0")
 	}
 	p, err := flaxshelf.New(cfg.Module, cfg.Seed)
--- a/internal/requests/requests_test.go
+++ b/internal/requests/requests_test.go
@@ -836,3 +836,49 @@
 		t.Errorf("%+v", f)
 	}
 }
+
+// A connection to a node that comes up a second late: the set-up that waited for it has gone elsewhere and is not written on it;
+// the link serves what comes next. One that never comes up costs its own set-up's wait alone.
+func TestLinkComesUpLate(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"})
+	w.list(flaxshelf.In, "n1", "n2")
+	dials := find[Dial](w)
+	w.step(w.ask(1, 7, 0))
+	none[Offer](w)
+	w.pass(300 * time.Millisecond) // both are out of reach by now
+	w.step(Up{dials[1].Link})
+	w.pass(200 * time.Millisecond)
+	if o := one[Offer](w); o.Node != dials[1].Node || o.Task != id(7) {
+		t.Errorf("%+v", o)
+	}
+	w.step(Heard{Link: dials[1].Link, Say: SaysAnswer, Task: id(7), Description: "node's"})
+	one[Answer](w)
+	w.pass(500 * time.Millisecond)
+	w.step(Up{dials[0].Link})
+	none[Offer](w)
+	none[Cut](w)
+	if f := w.c.Figures(); f.Links != 2 || f.Standing != 1 || f.Placed != 1 {
+		t.Errorf("%+v", f)
+	}
+}
+
+// A task handed over on a node whose address another has by now: nobody there is asked of it, and its owner hears in time.
+func TestHandedOverOnANodeThatWasReplaced(t *testing.T) {
+	w := newWorld(t)
+	w.step(Opened{Conn: 1, Host: "h"}, Tested{1, id(1)})
+	w.nodes("old@a")
+	w.list(flaxshelf.In, "new@a")
+	for _, d := range find[Dial](w) {
+		w.step(Up{d.Link})
+	}
+	w.step(Held{Conn: 1, Node: "old", Task: w.ask(1, 7, 0).Task})
+	none[Dial](w)
+	w.pass(8 * time.Second)
+	if e := one[Over](w); e != (Over{Conn: 1, Task: id(7), Cause: CauseReset}) {
+		t.Errorf("%+v", e)
+	}
+	if f := w.c.Figures(); f.Standing != 0 || f.Unlisted != 0 || f.Nodes != 1 {
+		t.Errorf("%+v", f)
+	}
+}
