--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -353,7 +353,8 @@
 				continue
 			}
 			if n.copyStands(f) {
-				n.w.log("%s: connection %d: refusal of %016x, cause %d wrong_host: a copy stands", n.id, c.number, f.task, causeFull)
+				n.w.log("%s: connection %d: refusal of %016x, cause %d wrong_host: a copy stands",
+					n.id, c.number, f.task, causeFull)
 				c.send(encodeFrame(typeRelease, f.task, param{codeWord, "wrong_host"},
 					param{codeCause, string([]byte{causeFull})}))
 				continue
