Review case 8: ends at nodes without a link are told far too late

Cause: a link with a message a second never gives way to a node without one, and a node that was denied a link never counts as lost. Nothing of the program is changed.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]func(p *play) (broken []string, err error){
 	"memory": playMemory,
+	"links":  playLinks,
 }
 
 func main() {
