Review case 7: ends after a restart are notified to another client

Cause: the notification of a task whose connection was closed goes to the connection that was confirmed last, whoever's it is, and the connections of a hand-over are closed after 2.3 s. Nothing of the program is changed.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,8 +28,9 @@
 }
 
 var cases = map[string]func(p *play) (broken []string, err error){
-	"memory": playMemory,
-	"links":  playLinks,
+	"memory":  playMemory,
+	"links":   playLinks,
+	"foreign": playForeign,
 }
 
 func main() {
