Review case 9: ends at a node that hung for 10 s are never told

Cause: a connection that is merely established counts as a sign that the node works, and the replaced connection is closed although the node has said nothing on either, so the report that it sends there is lost. Nothing of the program is changed.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(p *play) (broken []string, err error){
 	"memory":  playMemory,
 	"links":   playLinks,
+	"hang":    playHang,
 	"foreign": playForeign,
 }
 
@@ -37,7 +38,11 @@
 	name := flag.String("case", "", "the case")
 	root := flag.String("root", "", "the root of the repository")
 	record := flag.String("record", "record.txt", "the record")
+	nodeID := flag.String("node", "", "run a node of this name instead of a case")
 	flag.Parse()
+	if *nodeID != "" {
+		os.Exit(runNode(*nodeID))
+	}
 	os.Exit(run(*name, *root, *record))
 }
 
