Review case 10: requests with under 1 ms left end their connection

Cause: a time left under 1 ms counts as an invalid field, and the fourth such request closes its connection with all requests that are open on it. Nothing of the program is changed.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(p *play) (broken []string, err error){
 	"memory":  playMemory,
 	"links":   playLinks,
+	"little":  playLittle,
 	"hang":    playHang,
 	"foreign": playForeign,
 }
