The slow control feed of the test reads each request before it answers

TestSlowControlFeedIsHeard wrote its response as soon as it had accepted the second connection. The test now reads both requests first, with the HTTP parser, so it also checks that both arrive. No bound changed.

--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -1,10 +1,12 @@
 package platform
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -204,8 +206,13 @@
 				ended <- (&watchStream{scheduler: s, id: 1, addr: listener.Addr().String()}).run(ctx, cancel, 1)
 			}()
 			conns := []net.Conn{<-accepted, <-accepted}
-			defer conns[0].Close()
-			defer conns[1].Close()
+			for _, conn := range conns {
+				defer conn.Close()
+				// The HTTP client drops a connection that sends a response before its request.
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					t.Fatal(err)
+				}
+			}
 			if _, err := io.WriteString(conns[test.answers], stream); err != nil {
 				t.Fatal(err)
 			}
