The server of serve listens with Go's listener: what it accepts while it stops is closed

Cause: gnet's own listener may accept a connection while its engine stops; the connection is then registered with no event loop, and stays open until the process ends. Change: transport.Server uses a Dialer's event loops and an Acceptor, as the platform's scheduler does. The acceptor's goroutine ends before the loops stop, so every accepted connection has a loop that closes it. Three tests took the Conn from newHandler, which is now called before the connection opens; they take it from Opened, and their checks are unchanged.

--- a/internal/transport/acceptor.go
+++ b/internal/transport/acceptor.go
@@ -21,8 +21,8 @@
 // Acceptor accepts connections and passes them to a Dialer's event loops, so that the same loops serve accepted and dialed
 // connections. It is safe for concurrent use. Stop or Drain ends it, and the Dialer's Stop waits for its end.
 //
-// Unlike a Server, it continues after a failed accept. gnet's own listener, which Server uses, stops all event loops when the
-// process has no free file descriptor.
+// It continues after a failed accept. gnet's own listener stops all event loops when the process has no free file descriptor,
+// and keeps a connection open that it accepts while it stops.
 type Acceptor struct {
 	listener   *net.TCPListener
 	dialer     *Dialer
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -48,9 +48,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			closed, conns := make(chan error, 1), make(chan *Conn, 1)
-			s := listen(t, c.options, func(conn *Conn) Handler {
-				conns <- conn
-				return &echoHandler{closed: closed, discard: c.discard}
+			s := listen(t, c.options, func(*Conn) Handler {
+				return &openedHandler{echoHandler{closed: closed, discard: c.discard}, conns}
 			})
 			peer := dial(t, s.Addr())
 			c.provoke(peer, <-conns)
@@ -61,12 +60,12 @@
 
 // After DisableIdleTimeout, a connection stays open beyond the idle timeout and is still served.
 func TestDisableIdleTimeout(t *testing.T) {
-	closed := make(chan error, 1)
-	s := listen(t, Options{IdleTimeout: 30 * time.Millisecond}, func(c *Conn) Handler {
-		c.DisableIdleTimeout()
-		return &echoHandler{closed: closed}
+	closed, conns := make(chan error, 1), make(chan *Conn, 1)
+	s := listen(t, Options{IdleTimeout: 30 * time.Millisecond}, func(*Conn) Handler {
+		return &openedHandler{echoHandler{closed: closed}, conns}
 	})
 	c := dial(t, s.Addr())
+	(<-conns).DisableIdleTimeout()
 	select {
 	case err := <-closed:
 		t.Errorf("got close reason %v, want an open connection", err)
@@ -79,9 +78,8 @@
 // A peer that does not read does not block another connection on the same event loop.
 func TestSlowReaderDoesNotBlockOthers(t *testing.T) {
 	conns := make(chan *Conn, 2)
-	s := listen(t, Options{MaxWriteQueue: 64 << 20}, func(c *Conn) Handler {
-		conns <- c
-		return newEchoHandler(c)
+	s := listen(t, Options{MaxWriteQueue: 64 << 20}, func(*Conn) Handler {
+		return &openedHandler{echoHandler{closed: make(chan error, 1)}, conns}
 	})
 	dial(t, s.Addr())
 	slow := <-conns
--- a/internal/transport/eventhandler.go
+++ b/internal/transport/eventhandler.go
@@ -11,33 +11,15 @@
 // eventHandler passes gnet's events to connections and their handlers. gnet calls the On methods on the event loops.
 type eventHandler struct {
 	gnet.BuiltinEventEngine
-	options    Options
-	newHandler func(c *Conn) Handler // returns the handler of an accepted connection; nil for a Dialer
-	booted     chan gnet.Engine      // receives the engine when it has started; nil for a Dialer
-	queued     queuedTasks           // of all connections
+	options Options
+	queued  queuedTasks // of all connections
 }
 
-// OnBoot implements gnet.EventHandler.
-func (h *eventHandler) OnBoot(engine gnet.Engine) gnet.Action {
-	if h.booted != nil {
-		h.booted <- engine
-	}
-	return gnet.None
-}
-
-// OnOpen implements gnet.EventHandler. A connection that a Dialer or Acceptor has enrolled has its Conn as context. One that a
-// Server has accepted has none yet.
+// OnOpen implements gnet.EventHandler. The context of a connection is the Conn with which it was enrolled.
 func (h *eventHandler) OnOpen(socket gnet.Conn) ([]byte, gnet.Action) {
-	c, enrolled := socket.Context().(*Conn)
-	if !enrolled {
-		c = &Conn{options: &h.options, queued: &h.queued}
-		socket.SetContext(c)
-	}
+	c := socket.Context().(*Conn)
 	c.socket, c.remoteAddr = socket, socket.RemoteAddr().String()
 	c.lastRead.Store(time.Now().UnixNano())
-	if !enrolled {
-		c.handler = h.newHandler(c)
-	}
 	c.startIdleTimer()
 	if opener, ok := c.handler.(Opener); ok {
 		opener.Opened(c)
