Ends are counted before clients hear of them, and malformed answers have a second node

Both nodes are known from the start now; the first offer gets the malformed answer. The test checks more than before: exactly two offers, one at each node.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,17 +106,24 @@
 		"description is cut short": answer("caf\xc3"),
 	} {
 		t.Run(name, func(t *testing.T) {
-			n := newNode(t, func(c net.Conn, m nodebinary.Message) {
-				if m.Type == nodebinary.SetUp {
+			var offers atomic.Int32
+			script := func(c net.Conn, m nodebinary.Message) {
+				if m.Type == nodebinary.SetUp && offers.Add(1) == 1 {
 					respond(c, m)
+					return
 				}
-			})
-			s := startScheduler(t, scripted.Entry("s-1", n.Addr(), "active"))
+				scripted.AcceptAll(c, m)
+			}
+			first, second := newNode(t, script), newNode(t, script)
+			s := startScheduler(t, scripted.Entry("s-1", first.Addr(), "active"), scripted.Entry("s-2", second.Addr(), "active"))
 			c := s.connect()
 			c.submit(2)
-			awaitMessage(t, n, nodebinary.SetUp)
-			s.feed.Publish(false, scripted.Entry("s-2", newNode(t, scripted.AcceptAll).Addr(), "active"))
 			c.expectReply("answer", 2, 0)
+			expectMessage(t, first, nodebinary.SetUp, 2)
+			expectMessage(t, second, nodebinary.SetUp, 2)
+			if got := offers.Load(); got != 2 {
+				t.Errorf("got %d offers, want 2: one with a malformed response, and one at the other node", got)
+			}
 		})
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -231,8 +231,8 @@
 	c.unfinishedJobs--
 	c.endedJobCount++
 	c.endedJobs = append(c.endedJobs, job)
+	c.emit(LogOutcome{Job: job.info()}) // first, so that a client that hears of the end finds it in the metrics
 	c.publishChange(job)
-	c.emit(LogOutcome{Job: job.info()})
 	if job.array != nil {
 		c.arrayJobEnded(job)
 	}
