The judge awaits the end of a stopped keyed attempt before it counts two acceptances

Change: where the earlier attempt was stopped, the class is keyed and both nodes are in the key's domain, the overlap is a violation unless the Ended follows within the tolerance that the limits have for the recorder. Without a stop, for other classes or domains, after the tolerance or without an end it is one as before; four cases check this.

--- a/internal/testbed/rules/check.go
+++ b/internal/testbed/rules/check.go
@@ -121,6 +121,7 @@
 	attemptsByKey  map[string][]*attempt
 	activeAttempts map[string]map[*attempt]bool   // by scheduler: attempts in flight or accepted
 	acceptedByKey  map[string]map[string]*attempt // by key and ID of the attempt: accepted by a node, not ended
+	overlaps       []overlap                      // that wait for the end of their earlier attempt
 	slowStarts     map[string]*slowStart          // by node
 }
 
@@ -165,14 +166,20 @@
 
 // addViolation adds a violation of a rule at the time of the current record.
 func (c *checker) addViolation(rule int, format string, args ...any) {
+	c.addViolationAt(c.sinceStart(), rule, format, args...)
+}
+
+// addViolationAt adds a violation of a rule at a time since the first record.
+func (c *checker) addViolationAt(at time.Duration, rule int, format string, args ...any) {
 	r := &c.verdict.Rules[rule]
-	r.Violations = append(r.Violations, Violation{At: c.sinceStart(), Text: fmt.Sprintf(format, args...)})
+	r.Violations = append(r.Violations, Violation{At: at, Text: fmt.Sprintf(format, args...)})
 }
 
 // finish checks the jobs without an outcome and returns the verdict. It is called after the last record.
 func (c *checker) finish() *Verdict {
 	c.verdict.Length = c.sinceStart()
 	c.checkMissingOutcomes()
+	c.checkOpenOverlaps()
 	for i := range c.verdict.Rules {
 		slices.SortStableFunc(c.verdict.Rules[i].Violations, func(a, b Violation) int {
 			return cmp.Or(cmp.Compare(a.At, b.At), strings.Compare(a.Text, b.Text))
--- a/internal/testbed/rules/offer.go
+++ b/internal/testbed/rules/offer.go
@@ -129,32 +129,8 @@
 func (c *checker) nodeFrameSent(link *connection, frame *nodepb.Frame) {
 	switch body := frame.Body.(type) {
 	case *nodepb.Frame_Accepted:
-		c.nodeAccepted(link.listener, body.Accepted.Attempt)
+		c.nodeAccepted(body.Accepted.Attempt)
 	case *nodepb.Frame_Ended:
-		if a := c.attempts[body.Ended.Attempt]; a != nil {
-			delete(c.acceptedByKey[a.key], a.id)
-		}
-	}
-}
-
-// nodeAccepted checks that nodes have accepted at most one attempt at a time of a task that is not idempotent, regardless of
-// what schedulers know.
-func (c *checker) nodeAccepted(node, id string) {
-	a := c.attempts[id]
-	if a == nil {
-		return
-	}
-	if c.acceptedByKey[a.key] == nil {
-		c.acceptedByKey[a.key] = map[string]*attempt{}
-	}
-	if class := c.class(a.class); class.Idempotency != Idempotent {
-		c.verdict.Rules[NoDuplicateStart].Checked++
-		for _, other := range c.acceptedByKey[a.key] {
-			if other.id != id {
-				c.addViolation(NoDuplicateStart, "%s (%s) is accepted by %s as %s and by %s as %s", a.key, class.Idempotency,
-					other.node, other.id, node, id)
-			}
-		}
+		c.nodeEnded(body.Ended.Attempt)
 	}
-	c.acceptedByKey[a.key][id] = a
 }
--- a/internal/testbed/rules/recording_test.go
+++ b/internal/testbed/rules/recording_test.go
@@ -164,6 +164,12 @@
 	return r.reply(connection, &nodepb.Frame{Body: &nodepb.Frame_Ended{Ended: &nodepb.Ended{Attempt: attempt}}})
 }
 
+// stop lets the scheduler request that a node stop an attempt.
+func (r *recordingBuilder) stop(connection int, attempt string) *recordingBuilder {
+	r.frame(connection, false, &nodepb.Frame{Body: &nodepb.Frame_Stop{Stop: &nodepb.Stop{Attempt: attempt}}})
+	return r
+}
+
 // welcome adds the welcome of n1 with its start. Only the start of a fresh node begins a slow start.
 func (r *recordingBuilder) welcome(startMS int64, fresh bool) *recordingBuilder {
 	return r.reply(node1Connection, &nodepb.Frame{Body: &nodepb.Frame_Welcome{Welcome: &nodepb.Welcome{Node: "n1",
--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -46,6 +46,15 @@
 }
 
 func duplicateStartCases() []ruleCase {
+	// overlapping records that a task is accepted again in its zone before its first attempt has ended.
+	overlapping := func(stopped bool) *recordingBuilder {
+		r := newRecording().offer(node1Connection, "j/1/0", "keyed").at(500).offer(node1Connection, "j/1/1", "keyed").
+			accept(node1Connection, "j/1/0")
+		if stopped {
+			r.stop(node1Connection, "j/1/0")
+		}
+		return r.accept(node1Connection, "j/1/1")
+	}
 	first := func(class string) *recordingBuilder { return newRecording().offer(node1Connection, "j/1/0", class) }
 	return []ruleCase{
 		{"after a rejection", first("unsafe").reject(node1Connection, "j/1/0").
@@ -68,6 +77,13 @@
 		{"accepted by two nodes", first("unsafe").reject(node1Connection, "j/1/0").
 			offer(node2Connection, "j/1/1", "unsafe").accept(node2Connection, "j/1/1").accept(node1Connection, "j/1/0"),
 			[]int{NoDuplicateStart}},
+		{"by key, accepted after a stop whose end is recorded later, within the tolerance",
+			overlapping(true).at(510).end(node1Connection, "j/1/0"), nil},
+		{"by key, accepted after a stop whose end is recorded after the tolerance",
+			overlapping(true).at(511).end(node1Connection, "j/1/0"), []int{NoDuplicateStart}},
+		{"by key, accepted after a stop without an end", overlapping(true).at(511), []int{NoDuplicateStart}},
+		{"by key, accepted without a stop", overlapping(false).at(505).
+			end(node1Connection, "j/1/0"), []int{NoDuplicateStart}},
 	}
 }
 
