Requests and what waits for the run loop are limited by bytes, from memory_mb

Cause, from heap profiles: the mailbox held 4,096 reads of up to 64 KiB, pending requests were limited by number (30 of 41 MB are descriptions), and a step encoded the offers of 512 reads together (8 to 14 MB). Change: internal/corelimits divides the memory limit. Half of each part is divided evenly among the connections, none gets over an eighth, so a flood cannot use up another's share. Why it works: live memory for peers is under half of the limit whatever is sent (TestDivideMemory).

--- a/internal/corelimits/corelimits.go
+++ b/internal/corelimits/corelimits.go
@@ -38,6 +38,7 @@
 		NodeUnreachableTimeout:  requests.DefaultNodeUnreachableTimeout,
 		NodeIdleTimeout:         config.NodeIdleTimeout,
 		MaxPending:              maxPendingRequests,
+		MaxPendingBytes:         DivideMemory(config.Limits.MemoryMB).PendingRequests,
 		MaxLinks:                budget.NodeLinks,
 		MaxUnconfirmedAdoptions: maxUnconfirmedPerMB * config.Limits.MemoryMB,
 		Admission: admission.Limits{
--- a/internal/corelimits/corelimits_test.go
+++ b/internal/corelimits/corelimits_test.go
@@ -29,9 +29,26 @@
 	if got, want := large.MaxUnconfirmedAdoptions, 6*small.MaxUnconfirmedAdoptions; got != want || small.MaxUnconfirmedAdoptions < 500 {
 		t.Errorf("got %d and %d unconfirmed adoptions, want at least 500 and 6 times as many", small.MaxUnconfirmedAdoptions, got)
 	}
+	if got, want := large.MaxPendingBytes, 6*small.MaxPendingBytes; got != want || small.MaxPendingBytes < 1<<20 {
+		t.Errorf("got %d and %d bytes of pending requests, want at least 1 MiB and 6 times as many", small.MaxPendingBytes, got)
+	}
 	if small.MaxLinks+small.Admission.MaxConnections > 256 || large.MaxLinks <= small.MaxLinks ||
 		large.Admission.MaxConnections <= small.Admission.MaxConnections {
 		t.Errorf("got %d and %d links, %d and %d connections, want more with more descriptors", small.MaxLinks, large.MaxLinks,
 			small.Admission.MaxConnections, large.Admission.MaxConnections)
 	}
 }
+
+// What the process holds for its peers takes less than half of the memory limit, with the adopted tasks, of up to 4 KiB each.
+func TestDivideMemory(t *testing.T) {
+	const adoptedTaskBytes = 4 << 10
+	for limitMB := 16; limitMB <= 1<<10; limitMB++ {
+		b := DivideMemory(limitMB)
+		adopted := CoreConfig(&platformfront.Config{Limits: platformfront.Limits{MemoryMB: limitMB}}).MaxUnconfirmedAdoptions
+		sum := b.PendingRequests + 3*b.ReceivedMessages + b.QueuedWrites + adopted*adoptedTaskBytes
+		if limit := limitMB << 20; 2*sum > limit || b.ReceivedMessages < 512<<10 {
+			t.Fatalf("limit of %d MB: got %+v and %d adopted tasks, %d bytes in all, want at most half, and 512 KiB for messages", limitMB, b,
+				adopted, sum)
+		}
+	}
+}
--- a/internal/front/platformfront/generated_test.go
+++ b/internal/front/platformfront/generated_test.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		t.Fatalf("%v\n%s", err, d.text)
 	}
-	core, err := requests.New(requests.Config{Placer: config.Placer, Seed: config.Seed, NodeUnreachableTimeout: 6 * time.Second,
+	core, err := requests.New(requests.Config{Placer: config.Placer, Seed: config.Seed, NodeUnreachableTimeout: 6 * time.Second, MaxPendingBytes: 1 << 20,
 		NodeIdleTimeout: config.NodeIdleTimeout, MaxPending: 100, MaxUnconfirmedAdoptions: 100, Admission: admission.Limits{MaxConnections: 10,
 			IdleTimeout: time.Second, RecentUseGrace: time.Millisecond, MaxProtocolErrors: 3, MaxPendingPerConnection: 50}})
 	if err != nil {
--- a/internal/front/platformfront/owner.go
+++ b/internal/front/platformfront/owner.go
@@ -93,9 +93,9 @@
 		case "memory":
 			extras.memory = value
 		case "service":
-			extras.service = value
+			extras.service = strings.Clone(value) // the core keeps it, but not the rest of text
 		case "at":
-			extras.node, extras.adopted = value, true
+			extras.node, extras.adopted = strings.Clone(value), true
 		}
 	}
 	return extras
--- a/internal/platform/mailbox_test.go
+++ b/internal/platform/mailbox_test.go
@@ -28,7 +28,7 @@
 // A full mailbox rejects messages of tryPut and accepts those of forcePut, and delivers all in the order of their arrival: a
 // disconnect must not overtake an earlier message.
 func TestMailboxOrder(t *testing.T) {
-	b := newMailbox(2)
+	b := newMailbox(mailboxLimits{messages: 2})
 	put := func(m message) bool { b.forcePut(m); return true }
 	for i, queue := range []func(message) bool{b.tryPut, b.tryPut, b.tryPut, put} {
 		if got, want := queue(disconnected(requests.ConnID(i+1))), i != 2; got != want {
@@ -47,7 +47,7 @@
 // putWait queues its message once another message is taken, and gives up when the run loop has ended.
 func TestMailboxPutWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newMailbox(1)
+		b := newMailbox(mailboxLimits{messages: 1})
 		b.tryPut(disconnected(1))
 		loopDone, accepted := make(chan struct{}), make(chan bool, 1)
 		go func() { accepted <- b.putWait(disconnected(2), loopDone) }()
--- /dev/null
+++ b/internal/platform/memory_test.go
@@ -0,0 +1,74 @@
+package platform
+
+import (
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"flaxshelf.example/flaxshelf/internal/codec/nodebinary"
+	"flaxshelf.example/flaxshelf/internal/requests"
+	"flaxshelf.example/flaxshelf/internal/testbed/standin/scripted"
+)
+
+// Guards against a process over its memory limit: requests that waited for the run loop were limited by the number of reads, each
+// of up to 64 KiB. While the run loop is blocked, requests beyond a connection's share are rejected, and other owners keep theirs.
+func TestUnhandledRequestsAreLimitedByBytes(t *testing.T) {
+	const (
+		badClients  = 12
+		badRequests = 64 // of each client: 1 MB, twice the share of one
+		badBytes    = 15800
+		minRejected = badClients * badRequests / 2
+	)
+	var armed atomic.Bool
+	blocked, release := make(chan struct{}), make(chan struct{})
+	const badKey = "bad"
+	n := newNode(t, func(c net.Conn, m nodebinary.Message) {
+		if m.Key == badKey {
+			scripted.Send(c, nodebinary.Message{Type: nodebinary.Release, Task: m.Task, Cause: int(requests.CauseError)})
+			return
+		}
+		scripted.AcceptAll(c, m)
+	})
+	s := startSchedulerWith(t, schedulerOptions{logHook: func(line string) {
+		if strings.Contains(line, `"in":"Ping"`) && armed.CompareAndSwap(true, false) {
+			blocked <- struct{}{}
+			<-release
+		}
+	}}, scripted.Entry("s-1", n.Addr(), "active"))
+	usual := s.connect()
+	usual.placeTask(2)
+	expectMessage(t, n, nodebinary.SetUp, 2)
+	clients := make([]*client, badClients)
+	for i := range clients {
+		clients[i] = s.connect()
+		clients[i].ping() // so that the connection is known before the run loop is blocked
+	}
+	armed.Store(true)
+	pinged := make(chan bool, 1)
+	go func() { pinged <- s.connect().ping() }()
+	await(t, blocked, "the run loop to block")
+	description := strings.Repeat("x", badBytes)
+	rejected := 0
+	for i, c := range clients {
+		for k := range badRequests {
+			c.send(`{"type":"setup","id":"%016x","fields":{"class":"batch","left":"3000","key":%q,"extras":"cores:0.001;memory:0.001;service:b"},`+
+				`"sdp":%q}`, 1000*(i+1)+k, badKey, description)
+		}
+		for range minRejected / badClients {
+			if r := c.readReply(); r.Type != "release" || r.Cause != int(requests.CauseRejected) {
+				t.Fatalf("client %d: got %+v, want a release with cause %d", i, r, requests.CauseRejected)
+			}
+			rejected++
+		}
+	}
+	if rejected < minRejected {
+		t.Errorf("got %d requests rejected while the run loop was blocked, want at least %d", rejected, minRejected)
+	}
+	usual.submit(3) // must not be rejected
+	close(release)
+	if !await(t, pinged, "the health check that blocked the run loop") {
+		t.Error("got a ping that failed, want it passed")
+	}
+	usual.expectReply("answer", 3, 0)
+}
--- a/internal/platform/node_handler.go
+++ b/internal/platform/node_handler.go
@@ -30,8 +30,12 @@
 // Receive implements transport.Handler. A malformed message closes the link.
 func (h *nodeHandler) Receive(c *transport.Conn, in []byte) (used int, err error) {
 	inputs, used, err := h.decode(in)
-	if len(inputs) > 0 && !h.scheduler.mailbox.tryPut(message{inputs: inputs}) {
-		return used, errMailboxFull
+	if len(inputs) > 0 {
+		size := used + len(inputs)*inputOverhead
+		if !h.scheduler.mailbox.reserveLink(h.link, size) {
+			return used, errMailboxFull
+		}
+		h.scheduler.mailbox.forcePut(message{inputs: inputs, reserved: size, link: h.link})
 	}
 	h.partial.update(c, used, len(in), nodeMessageTimeout)
 	return used, err
--- a/internal/platform/owner_handler.go
+++ b/internal/platform/owner_handler.go
@@ -34,6 +34,7 @@
 	scheduler *scheduler
 	id        requests.ConnID
 	partial   partialMessage // true while the connection's last message is incomplete
+	buffered  int            // bytes of that message that were received; they are reserved in the mailbox
 }
 
 // Opened implements transport.Opener. It closes the connection if the mailbox is full.
@@ -49,9 +50,12 @@
 // Receive implements transport.Handler. A malformed message closes the connection, unless reject responds to it.
 func (h *ownerHandler) Receive(c *transport.Conn, in []byte) (used int, err error) {
 	now := clock.Now()
-	inputs, used, err := h.decode(c, in, now)
-	if len(inputs) > 0 && !h.scheduler.mailbox.tryPut(message{inputs: inputs, receivedAt: now}) {
-		return used, errMailboxFull
+	m, used, err := h.decode(c, in, now)
+	if len(m.inputs) > 0 {
+		h.scheduler.mailbox.forcePut(m)
+	}
+	if err == nil && !h.reserveBuffered(len(in)-used) {
+		err = errMailboxFull
 	}
 	h.scheduler.ownerPartialMessages.Add(h.partial.update(c, used, len(in), corelimits.OwnerIdleTimeout))
 	if err != nil {
@@ -61,14 +65,25 @@
 	return used, err
 }
 
-// decode decodes the complete messages at the start of in. used is the number of bytes that they take. Tasks that the owner
-// releases or migrates are recorded at once, so that offers of them that are still queued are not written.
-func (h *ownerHandler) decode(c *transport.Conn, in []byte, now requests.Time) (inputs []requests.Input, used int, err error) {
+// reserveBuffered sets the number of bytes that are reserved for a partial message. It returns false if there are too many.
+func (h *ownerHandler) reserveBuffered(bytes int) bool {
+	if !h.scheduler.mailbox.resizePartial(h.id, h.buffered, bytes) {
+		return false
+	}
+	h.buffered = bytes
+	return true
+}
+
+// decode decodes the complete messages at the start of in, and reserves bytes for their inputs, which it returns in one message
+// for the run loop. used is the number of bytes that they take. Tasks that the owner releases or migrates are recorded at once, so
+// that offers of them that are still queued are not written.
+func (h *ownerHandler) decode(c *transport.Conn, in []byte, now requests.Time) (decoded message, used int, err error) {
 	config := h.scheduler.config.Load()
+	decoded = message{receivedAt: now, owner: h.id}
 	for {
 		m, size, err := ownerjson.Next(in[used:])
 		if err != nil || size == 0 {
-			return inputs, used, err
+			return decoded, used, err
 		}
 		used += size
 		input, err := config.DecodeOwnerMessage(h.id, now, m)
@@ -76,20 +91,44 @@
 			input, err = h.reject(c, m, err)
 		}
 		if err != nil {
-			return inputs, used, err
+			return decoded, used, err
 		}
-		switch input := input.(type) {
-		case nil:
+		if input == nil {
 			continue
+		}
+		if !h.scheduler.mailbox.reserveOwner(h.id, size+inputOverhead) {
+			if _, isRequest := input.(requests.Submit); !isRequest {
+				return decoded, used, errMailboxFull
+			}
+			h.rejectOnReceipt(c, m.ID)
+			continue
+		}
+		switch input := input.(type) {
 		case requests.Release:
 			h.scheduler.released.add(input.Task)
 		case requests.Migrated:
 			h.scheduler.released.add(input.Task)
 		}
-		inputs = append(inputs, input)
+		decoded.inputs = append(decoded.inputs, input)
+		decoded.reserved += size + inputOverhead
 	}
 }
 
+// rejectOnReceipt rejects a request for which no bytes can be reserved. A retry is safe, since no offer was made.
+func (h *ownerHandler) rejectOnReceipt(c *transport.Conn, task string) {
+	h.scheduler.rejectedOnReceipt.Add(1)
+	h.respondTerminated(c, task, requests.CauseRejected)
+}
+
+// respondTerminated sends the final response to a request that does not reach the run loop.
+func (h *ownerHandler) respondTerminated(c *transport.Conn, task string, cause requests.Cause) {
+	response, err := platformfront.EncodeTerminated(nil, &requests.Terminated{Task: task, Cause: cause})
+	if err != nil {
+		h.scheduler.options.Log.Error().Err(err).Str("task", task).Msg("cannot encode response to request")
+	}
+	c.WriteInLoop(response)
+}
+
 // reject handles an invalid message. It responds to a set-up with a release and returns the input that counts it as a protocol
 // error; for any other message, it returns reason as the error.
 func (h *ownerHandler) reject(c *transport.Conn, m *ownerjson.Message, reason error) (requests.Input, error) {
@@ -97,11 +136,7 @@
 	if m.Type != ownerjson.SetUp {
 		return nil, reason
 	}
-	answer, err := platformfront.EncodeTerminated(nil, &requests.Terminated{Task: m.ID, Cause: requests.CauseError})
-	if err != nil {
-		h.scheduler.options.Log.Error().Err(err).Msg("cannot encode response to invalid request")
-	}
-	c.WriteInLoop(answer)
+	h.respondTerminated(c, m.ID, requests.CauseError)
 	return requests.ProtocolError{Conn: h.id}, nil
 }
 
@@ -110,6 +145,7 @@
 	if h.partial {
 		h.scheduler.ownerPartialMessages.Add(-1)
 	}
+	h.reserveBuffered(0)
 	<-h.scheduler.ownerSlots
 	h.scheduler.mailbox.forcePut(message{inputs: []requests.Input{requests.OwnerDisconnected{Conn: h.id}}})
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,10 +28,11 @@
 )
 
 const (
-	mailboxCapacity  = 1 << 12  // messages queued for the run loop
-	maxBatchMessages = 512      // messages handled by one step
-	maxWriteQueue    = 1 << 20  // bytes queued for writing to one peer
-	maxReadBuffer    = 64 << 10 // bytes received from one peer and not parsed yet
+	mailboxCapacity  = 1 << 12   // messages queued for the run loop, except those with reserved bytes
+	maxBatchMessages = 512       // messages handled by one step
+	maxBatchBytes    = 256 << 10 // bytes from peers after which a step handles no further message
+	maxWriteQueue    = 1 << 20   // bytes queued for writing to one peer
+	maxReadBuffer    = 64 << 10  // bytes received from one peer and not parsed yet
 	// maxHeapTenths is how many tenths of the configured memory Go's soft memory limit allows.
 	maxHeapTenths = 6
 )
@@ -56,6 +57,7 @@
 	lastConnID           atomic.Uint64 // ID of the newest connection from an owner; IDs count from 1
 	ownerSlots           chan struct{} // semaphore: contains a token for each open connection from an owner
 	ownerPartialMessages atomic.Int64  // number of owners' connections with a partially received message
+	rejectedOnReceipt    atomic.Uint64 // number of requests that were rejected because too much from owners was unhandled
 
 	released releasedTasks // used on the event loop only
 
@@ -109,11 +111,17 @@
 }
 
 func newScheduler(options Options, config *platformfront.Config) *scheduler {
+	descriptors := corelimits.DivideDescriptors(config.Limits.Sockets)
 	s := &scheduler{
-		options:       options,
-		mailbox:       newMailbox(mailboxCapacity),
+		options: options,
+		mailbox: newMailbox(mailboxLimits{
+			messages: mailboxCapacity,
+			bytes:    corelimits.DivideMemory(config.Limits.MemoryMB).ReceivedMessages,
+			owners:   descriptors.OwnerConnections,
+			links:    descriptors.NodeLinks,
+		}),
 		loopDone:      make(chan struct{}),
-		ownerSlots:    make(chan struct{}, corelimits.DivideDescriptors(config.Limits.Sockets).OwnerConnections),
+		ownerSlots:    make(chan struct{}, descriptors.OwnerConnections),
 		owners:        map[requests.ConnID]*peer{},
 		links:         map[requests.LinkID]*peer{},
 		watchPosition: watchPosition{lastSequence: config.LastSequence},
--- a/internal/platform/run_loop.go
+++ b/internal/platform/run_loop.go
@@ -57,6 +57,7 @@
 // collectInputs takes one batch of messages from the mailbox and appends their inputs to those of the next step. It returns
 // the time of that step, which is not earlier than the arrival of any of the messages.
 func (l *runLoop) collectInputs() requests.Time {
+	clear(l.batch) // so that the texts in them are not retained
 	l.batch = l.mailbox.take(l.batch[:0], maxBatchMessages)
 	for _, m := range l.batch {
 		l.inputs = l.handleMessage(m, l.inputs)
@@ -71,6 +72,7 @@
 	l.traceInputs(l.inputs)
 	effects, next := l.core.Step(now, l.inputs)
 	l.traceEffects(effects)
+	clear(l.inputs)
 	l.inputs = l.inputs[:0]
 	l.executeEffects(dialContext, now, effects)
 	return next
--- a/internal/platform/stats.go
+++ b/internal/platform/stats.go
@@ -19,6 +19,7 @@
 	s.options.Log.Info().Interface("stats", s.core.Stats()).
 		Int64("heap_kb", int64(memory.HeapAlloc>>10)).Int64("sys_kb", int64(memory.Sys>>10)).Int64("max_rss_kb", usage.Maxrss).
 		Dur("cpu_ms", cpu-s.cpuAtLastReport).Int("owner_connections", len(s.ownerSlots)).
+		Int("received_kb", s.mailbox.reservedBytes()>>10).Uint64("rejected_on_receipt", s.rejectedOnReceipt.Load()).
 		Uint64("last_event", s.watchPosition.lastSequence).Msg("stats")
 	s.cpuAtLastReport = cpu
 }
--- a/internal/platform/stats_test.go
+++ b/internal/platform/stats_test.go
@@ -33,10 +33,10 @@
 		got, want []string
 	}{
 		{"line", slices.Sorted(maps.Keys(line)), []string{"cpu_ms", "heap_kb", "last_event", "level", "max_rss_kb", "message",
-			"owner_connections", "stats", "sys_kb"}},
+			"owner_connections", "received_kb", "rejected_on_receipt", "stats", "sys_kb"}},
 		{"stats", slices.Sorted(maps.Keys(counters)), []string{"Adopted", "BrokenLinks", "Canceled", "Completed",
 			"DroppedNotifications", "Ended", "Evicted", "EvictedAdoptions", "Failed", "FailedOffers", "Links", "LostByNodeReport", "LostOffers", "LostToNodeDeath", "LostToRemoval",
-			"LostToUnreachable", "Nodes", "Offers", "Owners", "OwnersClosed", "Pending", "Placed", "Preempted", "Rejected",
+			"LostToUnreachable", "Nodes", "Offers", "Owners", "OwnersClosed", "Pending", "PendingBytes", "Placed", "Preempted", "Rejected",
 			"RejectedAdoptions", "RejectedAtLimit", "RejectedOffers", "RepeatedReleases", "Running", "RunningUnlisted",
 			"StaleMessages", "SuspectedLinks", "TimedOutOffers", "UnreachableOffers"}},
 	} {
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -162,7 +162,7 @@
 func readStream(parent context.Context, t *testing.T, reply string) (addr string, err error) {
 	t.Helper()
 	addr, _ = serveReplies(t, []string{reply})
-	s := &scheduler{mailbox: newMailbox(1 << 4), loopDone: make(chan struct{})}
+	s := &scheduler{mailbox: newMailbox(mailboxLimits{messages: 1 << 4}), loopDone: make(chan struct{})}
 	s.config.Store(&platformfront.Config{})
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
@@ -197,7 +197,7 @@
 					accepted <- conn
 				}
 			}()
-			s := &scheduler{mailbox: newMailbox(1 << 4), loopDone: make(chan struct{})}
+			s := &scheduler{mailbox: newMailbox(mailboxLimits{messages: 1 << 4}), loopDone: make(chan struct{})}
 			s.config.Store(&platformfront.Config{})
 			ctx, cancel := context.WithCancelCause(context.Background())
 			defer cancel(nil)
--- a/internal/requests/config.go
+++ b/internal/requests/config.go
@@ -24,6 +24,9 @@
 	Admission admission.Limits
 	// MaxPending is the maximum number of requests that wait for a response. Requests above it are rejected.
 	MaxPending int
+	// MaxPendingBytes is the maximum size of these requests in bytes. Half of it is divided evenly among the connections that
+	// Admission allows, and no connection gets more than an eighth of it. Requests above that are rejected.
+	MaxPendingBytes int
 	// MaxUnconfirmedAdoptions is the maximum number of adopted tasks on listed nodes that no node has confirmed. Above it, tasks
 	// of the least credible connections are given up.
 	MaxUnconfirmedAdoptions int
@@ -61,6 +64,7 @@
 	}{
 		{"NodeUnreachableTimeout", c.NodeUnreachableTimeout, c.NodeUnreachableTimeout > 0, mustBePositive},
 		{"MaxPending", c.MaxPending, c.MaxPending > 0, mustBePositive},
+		{"MaxPendingBytes", c.MaxPendingBytes, c.MaxPendingBytes > 0, mustBePositive},
 		{"MaxUnconfirmedAdoptions", c.MaxUnconfirmedAdoptions, c.MaxUnconfirmedAdoptions > 0, mustBePositive},
 		{"MaxLinks", c.MaxLinks, c.MaxLinks >= 0, mustNotBeNegative},
 		{"Admission.MaxConnections", c.Admission.MaxConnections, c.Admission.MaxConnections > 0, mustBePositive},
--- a/internal/requests/core.go
+++ b/internal/requests/core.go
@@ -7,6 +7,7 @@
 
 	"flaxshelf.example/flaxshelf"
 	"flaxshelf.example/flaxshelf/internal/admission"
+	"flaxshelf.example/flaxshelf/internal/bytebudget"
 	"flaxshelf.example/flaxshelf/internal/timerqueue"
 )
 
@@ -24,7 +25,8 @@
 	pendingEvents []flaxshelf.Event // for the placer's next step
 	placerTimerAt Time              // when the placer receives its next TimerFired event; 0: never
 
-	tasks            map[string]*task // by task ID
+	tasks            map[string]*task           // by task ID
+	pendingBytes     *bytebudget.Budget[ConnID] // of pending requests
 	owners           map[ConnID]*ownerConnection
 	admission        *admission.Control
 	idleTimer        *timerqueue.Timer // runs closeIdleOwners
@@ -55,14 +57,15 @@
 		return nil, fmt.Errorf("requests: placer settings: %w", err)
 	}
 	return &Core{
-		config:    config,
-		placer:    placer,
-		tasks:     map[string]*task{},
-		owners:    map[ConnID]*ownerConnection{},
-		admission: admission.New(config.Admission),
-		nodes:     map[string]*node{},
-		links:     map[LinkID]*link{},
-		rng:       rand.New(rand.NewPCG(config.Seed, 1)),
+		config:       config,
+		placer:       placer,
+		tasks:        map[string]*task{},
+		pendingBytes: bytebudget.New[ConnID](config.MaxPendingBytes, config.Admission.MaxConnections),
+		owners:       map[ConnID]*ownerConnection{},
+		admission:    admission.New(config.Admission),
+		nodes:        map[string]*node{},
+		links:        map[LinkID]*link{},
+		rng:          rand.New(rand.NewPCG(config.Seed, 1)),
 
 		listedAdoptions:   newAdoptionPool(config.MaxUnconfirmedAdoptions),
 		unlistedAdoptions: newAdoptionPool(maxUnconfirmedUnlisted),
@@ -78,6 +81,7 @@
 // zero means not before the next input. The effects are valid until the next call.
 func (c *Core) Step(now Time, inputs []Input) ([]Effect, Time) {
 	c.now = max(now, c.now)
+	clear(c.effects) // so that the texts in them are not retained
 	c.effects = c.effects[:0]
 	c.startWatch()
 	// Inputs are handled before timers: after the process was stopped for a while, responses that arrived in time must not be
@@ -135,6 +139,7 @@
 func (c *Core) Stats() Stats {
 	stats := c.stats
 	stats.Owners = len(c.owners)
+	stats.PendingBytes = c.pendingBytes.Used()
 	stats.Nodes = len(c.nodes)
 	stats.Links = len(c.links)
 	return stats
--- a/internal/requests/harness_test.go
+++ b/internal/requests/harness_test.go
@@ -56,6 +56,7 @@
 		Seed:                   1,
 		NodeUnreachableTimeout: 6 * time.Second,
 		MaxPending:             100,
+		MaxPendingBytes:        1 << 20,
 
 		MaxUnconfirmedAdoptions: 100,
 		Admission: admission.Limits{
--- a/internal/requests/nodemessage.go
+++ b/internal/requests/nodemessage.go
@@ -69,7 +69,6 @@
 	a.phase = phaseRunning
 	a.link.pendingOffers--
 	c.finishRequest(t, true)
-	t.description, t.idempotencyKey = "", "" // only offers need them
 	c.stats.Running++
 	c.stats.Placed++
 	c.emit(Accepted{Conn: t.conn, Task: t.id, Description: description})
--- a/internal/requests/request.go
+++ b/internal/requests/request.go
@@ -11,7 +11,8 @@
 	spec           flaxshelf.Task
 	class          string
 	idempotencyKey string
-	description    string
+	description    string   // empty once the request is no longer pending
+	pendingBytes   int      // reserved in Core.pendingBytes while the request is pending
 	conn           ConnID   // connection on which it was submitted or adopted
 	pending        bool     // whether its owner waits for the response
 	attempts       int      // number of attempts so far
@@ -55,7 +56,7 @@
 		}
 		return
 	}
-	if c.stats.Pending >= c.config.MaxPending || !c.admission.BeginRequest(admission.ID(in.Conn)) {
+	if !c.beginRequest(&in) {
 		c.stats.RejectedAtLimit++
 		c.emit(Terminated{Conn: in.Conn, Task: in.Task.ID, Cause: CauseRejected}) // a retry is safe: no offer was made
 		return
@@ -68,6 +69,7 @@
 		description:    in.Description,
 		conn:           in.Conn,
 		pending:        true,
+		pendingBytes:   in.size(),
 	}
 	c.tasks[t.id] = t
 	o.addPending(t)
@@ -75,6 +77,27 @@
 	c.notifyPlacer(flaxshelf.TaskSubmitted{Task: t.spec})
 }
 
+// requestOverhead is the size in bytes of what the core and the placer hold for a pending request beside its texts.
+const requestOverhead = 1536
+
+// size returns the size of a request in bytes while it is pending.
+func (in *Submit) size() int {
+	texts := len(in.Task.ID) + len(in.Task.Key) + len(in.Task.Service) + len(in.Class) + len(in.IdempotencyKey) + len(in.Description)
+	return requestOverhead + texts
+}
+
+// beginRequest reserves what a pending request needs. It returns false if a limit on pending requests is reached.
+func (c *Core) beginRequest(in *Submit) bool {
+	if c.stats.Pending >= c.config.MaxPending || !c.pendingBytes.Reserve(in.Conn, in.size()) {
+		return false
+	}
+	if !c.admission.BeginRequest(admission.ID(in.Conn)) {
+		c.pendingBytes.Release(in.Conn, in.size())
+		return false
+	}
+	return true
+}
+
 // respondTerminated sends the final response to a request that the placer has rejected or failed.
 func (c *Core) respondTerminated(id string, cause Cause) {
 	t := c.tasks[id]
@@ -101,6 +124,8 @@
 		return
 	}
 	t.pending = false
+	t.description, t.idempotencyKey = "", "" // only offers need them
+	c.pendingBytes.Release(t.conn, t.pendingBytes)
 	c.stats.Pending--
 	if o := c.owners[t.conn]; o != nil {
 		delete(o.pending, t.id)
--- a/internal/requests/request_test.go
+++ b/internal/requests/request_test.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -204,6 +205,7 @@
 	}{
 		{"of all connections", func(c *Config) { c.MaxPending = 2 }},
 		{"of one connection", func(c *Config) { c.Admission.MaxPendingPerConnection = 2 }},
+		{"of bytes of one connection", func(c *Config) { c.MaxPendingBytes = 8 * 2 * (requestOverhead + 100) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t, test.change)
@@ -217,3 +219,32 @@
 		})
 	}
 }
+
+// Guards against a process over its memory limit: pending requests were limited by their number, whatever their sizes. Large
+// requests of some connections leave room for those of another, and requests that have ended hold nothing.
+func TestPendingRequestsAreLimitedByBytes(t *testing.T) {
+	const large, conns, perConn = 16 << 10, 9, 20
+	h := newHarness(t, func(c *Config) { c.MaxPendingBytes = 1 << 20; c.MaxPending = 1000 })
+	h.connect(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)
+	h.addNodes("n")
+	for conn := range ConnID(conns) {
+		for i := range perConn {
+			submit := h.newSubmit(conn+1, int(conn)*perConn+i+1)
+			submit.Description = strings.Repeat("x", large)
+			h.step(submit)
+		}
+	}
+	stats := h.core.Stats()
+	if stats.PendingBytes > h.core.config.MaxPendingBytes || stats.PendingBytes < large || stats.RejectedAtLimit == 0 {
+		t.Errorf("got %d bytes pending and %d requests rejected, want at most %d bytes and more than none", stats.PendingBytes,
+			stats.RejectedAtLimit, h.core.config.MaxPendingBytes)
+	}
+	h.step(h.newSubmit(10, 1000))
+	noEffect[Terminated](h)
+	for conn := range ConnID(conns + 1) {
+		h.step(OwnerDisconnected{Conn: conn + 1})
+	}
+	if got := h.core.Stats().PendingBytes; got != 0 {
+		t.Errorf("got %d bytes pending after all owners have disconnected, want 0", got)
+	}
+}
--- a/internal/requests/stats.go
+++ b/internal/requests/stats.go
@@ -7,6 +7,7 @@
 type Stats struct {
 	// Gauges.
 	Pending         int // requests that wait for a response
+	PendingBytes    int // size of these requests
 	Running         int // running tasks, including those whose release is not confirmed
 	RunningUnlisted int // those of Running that were adopted on nodes that no endpoint list had contained
 	Owners          int // owners' connections
