A time left under a millisecond is valid, and a request whose time is over is rejected

Cause: decodeDeadline took under 1 ms as an invalid field, and the fourth protocol error closes the connection. Change: 0 ms or more is valid; the core rejects (34) a request whose time is over when it gets it, without an offer. Why it works: such requests are answered like others and count as no error.

Measured, arm64: TestRequestsWithLittleTimeLeftKeepTheirConnection failed before (EOF after the fourth) and passed 3 of 3; TestDecodeLittleTimeLeft failed before for "0", "0.0001" and "0.6".

--- a/internal/front/platformfront/owner.go
+++ b/internal/front/platformfront/owner.go
@@ -105,9 +105,9 @@
 // invalid time is no error; a missing or negative one then means now.
 func decodeDeadline(m *ownerjson.Message, now requests.Time, optional bool) (requests.Time, error) {
 	millis, err := strconv.ParseFloat(m.Fields[fieldTimeLeft], 64)
-	valid := err == nil && millis >= 1 && millis <= float64(maxTimeLeft/time.Millisecond)
+	valid := err == nil && millis >= 0 && millis <= float64(maxTimeLeft/time.Millisecond)
 	if !valid && !optional {
-		return 0, invalidField(m, fieldTimeLeft, "must be 1 to 3600000 milliseconds")
+		return 0, invalidField(m, fieldTimeLeft, "must be 0 to 3600000 milliseconds")
 	}
 	return now + time.Duration(max(millis, 0)*float64(time.Millisecond)), nil
 }
--- a/internal/front/platformfront/owner_test.go
+++ b/internal/front/platformfront/owner_test.go
@@ -37,6 +37,17 @@
 	}
 }
 
+// Guards against requests that were refused as malformed, which closed their connection: little time left is no error.
+func TestDecodeLittleTimeLeft(t *testing.T) {
+	for text, want := range map[string]time.Duration{"0": 0, "0.0001": 100, "0.6": 600 * time.Microsecond} {
+		got, err := decodeOwnerLine(t, parseConfig(t), setUpLine("keyed", text, "7f3a", "5c0f", validExtras))
+		submit, ok := got.(requests.Submit)
+		if err != nil || !ok || submit.Task.Deadline != 10*time.Second+want {
+			t.Errorf("time left %s: got %+v and error %v, want a submission with %v left", text, got, err, want)
+		}
+	}
+}
+
 func TestDecodeAdoption(t *testing.T) {
 	got, err := decodeOwnerLine(t, parseConfig(t), setUpLine("batch_one", "", "7f3a", "", validExtras+";at:s-1"))
 	if adopt, ok := got.(requests.Adopt); err != nil || !ok || adopt.Node != "s-1" || adopt.Conn != 3 {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -288,6 +289,30 @@
 	}
 }
 
+// Guards against lost requests: some with under a millisecond left counted as malformed, and closed the connection with the other
+// requests that were open on it.
+func TestRequestsWithLittleTimeLeftKeepTheirConnection(t *testing.T) {
+	s, _, c := startSchedulerWithTask(t)
+	const line = `{"type":"setup","id":"%016x","fields":{"class":"batch","left":%q,"key":"k","extras":"cores:1;memory:1;service:s"},` +
+		`"sdp":"owner's"}`
+	texts := []string{"3000", "0.6", "0", "0.0001", "0.6", "0.6", "0.6", "3000"}
+	lines := make([]string, len(texts))
+	for i, text := range texts {
+		lines[i] = fmt.Sprintf(line, 3+i, text)
+	}
+	c.send("%s", strings.Join(lines, "\n"))
+	for range texts {
+		r := c.readReply()
+		index, _ := strconv.ParseInt(r.ID, 16, 64)
+		if placed := texts[index-3] == "3000"; placed != (r.Type == "answer") {
+			t.Errorf("got %+v for a request with %s ms left, want an answer for those with 3000 only", r, texts[index-3])
+		}
+	}
+	if !s.connect().ping() {
+		t.Error("got a ping that failed, want it passed")
+	}
+}
+
 // While 300 idle clients are connected or wait to be accepted, there are still descriptors for the next stream of the control
 // feed, for a health check on a new connection and for the link to a new node.
 func TestIdleClientsLeaveDescriptorsFree(t *testing.T) {
--- a/internal/requests/request.go
+++ b/internal/requests/request.go
@@ -44,7 +44,8 @@
 }
 
 // submit starts a request. If the task ID is already in use, the earlier task is unaffected, and the request is
-// not started: it is ignored if it repeats a pending request of the same connection, and fails in all other cases.
+// not started: it is ignored if it repeats a pending request of the same connection, and fails in all other cases. A request
+// whose time is over is rejected; nothing was offered.
 func (c *Core) submit(in Submit) {
 	o := c.owners[in.Conn]
 	if o == nil {
@@ -56,6 +57,11 @@
 		}
 		return
 	}
+	if in.Task.Deadline <= c.now {
+		c.stats.Rejected++
+		c.emit(Terminated{Conn: in.Conn, Task: in.Task.ID, Cause: CauseRejected})
+		return
+	}
 	if !c.beginRequest(&in) {
 		c.stats.RejectedAtLimit++
 		c.emit(Terminated{Conn: in.Conn, Task: in.Task.ID, Cause: CauseRejected}) // a retry is safe: no offer was made
--- a/internal/requests/request_test.go
+++ b/internal/requests/request_test.go
@@ -248,3 +248,19 @@
 		t.Errorf("got %d bytes pending after all owners have disconnected, want 0", got)
 	}
 }
+
+// A request whose time is over is rejected at once, since nothing was offered, and the placer is not notified of it.
+func TestRequestWithoutTimeLeftIsRejected(t *testing.T) {
+	h := newHarness(t)
+	h.connect(1)
+	h.addNodes("n")
+	submit := h.newSubmit(1, 7)
+	submit.Task.Deadline = h.now
+	h.step(submit)
+	expectEffect(h, Terminated{Conn: 1, Task: taskID(7), Cause: CauseRejected})
+	noEffect[Offer](h)
+	if got := placerEventsOf[flaxshelf.TaskSubmitted](h); len(got) != 0 {
+		t.Errorf("got submissions %+v, want none", got)
+	}
+	h.expectNoTasks()
+}
