Invalid requests do not close a connection on which requests are open

The protocol lets a scheduler close a connection only where no set-up is open. Change: the connection is closed by the first error after the limit at which none is pending. Each invalid request gets its error (47) as before, so a bad client is still answered in time.

Measured, arm64: TestInvalidRequestsKeepConnectionWithOpenRequests fails before, passes now; internal/requests passes.

--- a/internal/requests/owner.go
+++ b/internal/requests/owner.go
@@ -75,9 +75,12 @@
 	}
 }
 
-// protocolError counts a protocol error, and closes the connection if it has caused more than the limit.
+// protocolError counts a protocol error, and closes the connection if it has caused more than the limit. While requests are
+// pending on it, it stays open, since they would be lost; the next error closes it.
 func (c *Core) protocolError(conn ConnID) {
-	if c.admission.RecordProtocolError(admission.ID(conn)) {
+	o := c.owners[conn]
+	exceeded := c.admission.RecordProtocolError(admission.ID(conn))
+	if o != nil && exceeded && len(o.pending) == 0 {
 		c.closeOwner(conn)
 	}
 }
--- a/internal/requests/owner_test.go
+++ b/internal/requests/owner_test.go
@@ -21,3 +21,19 @@
 	h.step(ProtocolError{1})
 	oneEffect[CloseOwner](h)
 }
+
+// Guards against lost requests: a connection was closed for invalid requests although others were open on it. It is closed once
+// they have their answers and another invalid one arrives.
+func TestInvalidRequestsKeepConnectionWithOpenRequests(t *testing.T) {
+	h := newHarness(t)
+	h.connect(1)
+	h.step(h.newSubmit(1, 7)) // stays pending, since no node is known
+	for range 10 {
+		h.step(ProtocolError{1})
+		noEffect[CloseOwner](h)
+	}
+	h.step(Release{Conn: 1, Task: taskID(7)})
+	noEffect[CloseOwner](h)
+	h.step(ProtocolError{1})
+	oneEffect[CloseOwner](h)
+}
