What is queued for all peers is limited, also where the event loop writes it

Cause: the answers that the event loop writes itself (errors, rejections) were queued for a peer that never reads without any limit, and the queues of all connections together could hold 1 MB each, over the memory limit. Change: Conn.write checks the connection's limit, and a Dialer may have one for all connections, a sixteenth of the memory limit on the platform; above it the connection with most bytes queued is closed.

Measured, arm64: TestWriteInLoopToSlowReaderCloses failed before (not closed within 10 s), passes; internal/transport passes 3 of 3.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -147,7 +147,12 @@
 
 // listen starts the event loop and listens for owners.
 func (s *scheduler) listen(config *platformfront.Config) (err error) {
-	transportOptions := transport.Options{MaxReadBuffer: maxReadBuffer, MaxWriteQueue: maxWriteQueue, Log: s.options.Log}
+	transportOptions := transport.Options{
+		MaxReadBuffer:   maxReadBuffer,
+		MaxWriteQueue:   maxWriteQueue,
+		MaxQueuedWrites: corelimits.DivideMemory(config.Limits.MemoryMB).QueuedWrites,
+		Log:             s.options.Log,
+	}
 	if s.dialer, err = transport.NewDialer(transportOptions); err != nil {
 		return err
 	}
--- a/internal/transport/acceptor.go
+++ b/internal/transport/acceptor.go
@@ -83,7 +83,8 @@
 
 // enroll passes an accepted connection to an event loop.
 func (a *Acceptor) enroll(socket *net.TCPConn) {
-	c := &Conn{options: &a.dialer.options, queued: &a.dialer.events.queued}
+	c := &Conn{options: &a.dialer.options, queued: &a.dialer.events.queued,
+		writes: &a.dialer.events.writes}
 	c.handler = a.newHandler(c)
 	if _, err := a.dialer.client.EnrollContext(socket, c); err != nil {
 		c.handler.Closed(c, fmt.Errorf("transport: pass connection from %s to an event loop: %w", socket.RemoteAddr(), err))
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -22,6 +22,8 @@
 	socket     gnet.Conn // set when the connection opens
 	remoteAddr string    // set when the connection opens
 	closed     atomic.Bool
+	writes     *writeBudget
+	overflowed bool  // the write queue was too long, so that the connection is about to close; used on the event loop only
 	reason     error // why this side closes the connection, nil if it does not; used on the event loop only
 
 	lastRead     atomic.Int64 // when bytes were last received, in Unix nanoseconds, or neverIdle
@@ -45,12 +47,39 @@
 func (c *Conn) WriteInLoop(b []byte) { c.write(b) }
 
 func (c *Conn) write(b []byte) {
-	if c.closed.Load() || len(b) == 0 {
+	if c.closed.Load() || c.overflowed || len(b) == 0 {
 		return
 	}
 	if _, err := c.socket.Write(b); err != nil {
 		c.reason = fmt.Errorf("transport: write %d bytes: %w", len(b), err)
+		return
+	}
+	queued := c.socket.OutboundBuffered()
+	if queued == 0 {
+		return
+	}
+	if queued > c.options.MaxWriteQueue {
+		c.overflow()
+	}
+	c.writes.written(len(b))
+}
+
+// unwritten returns the number of bytes that are queued for the peer. It is called on the event loop only.
+func (c *Conn) unwritten() int {
+	if c.overflowed || c.closed.Load() {
+		return 0
+	}
+	return c.socket.OutboundBuffered() + int(c.queuedBytes.Load())
+}
+
+// overflow drops further writes, and closes the connection once its handler has returned. It is called on the event loop only.
+func (c *Conn) overflow() {
+	if c.overflowed {
+		return
 	}
+	queued := c.unwritten()
+	c.overflowed = true
+	c.Close(slowReaderError(int64(queued)))
 }
 
 // ResumeReceive causes another call of Handler.Receive with the bytes that the handler has not used, if there are any. It may
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -146,3 +146,56 @@
 		}
 	}
 }
+
+// Guards against memory that grows without end: what a handler wrote on the event loop, such as the answers to invalid messages,
+// was queued for a peer that never reads, without a limit.
+func TestWriteInLoopToSlowReaderCloses(t *testing.T) {
+	closed := make(chan error, 1)
+	a, stop := accept(t, func() {}, func(*Conn) Handler { return &echoHandler{closed: closed} })
+	defer stop()
+	defer a.Stop()
+	peer := dial(t, a.Addr())
+	go func() {
+		line := []byte(strings.Repeat("x", 1<<16) + "\n")
+		for {
+			if _, err := peer.Write(line); err != nil {
+				return
+			}
+		}
+	}()
+	expectReason(t, closed, ErrSlowReader)
+}
+
+// When the bytes queued for all peers exceed their limit, the connection with most of them is closed, and no other.
+func TestQueuedWritesOfAllConnectionsAreLimited(t *testing.T) {
+	const limit = 8 << 20
+	d, err := NewDialer(Options{MaxWriteQueue: 4 * limit, MaxQueuedWrites: limit})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conns, closed := make(chan *Conn, 2), [2]chan error{make(chan error, 1), make(chan error, 1)}
+	accepted := 0 // used on the goroutine of the acceptor
+	a, err := d.StartAcceptor("127.0.0.1:0", func() {}, func(*Conn) Handler {
+		accepted++
+		return &openedHandler{echoHandler{closed: closed[accepted-1]}, conns}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial(t, a.Addr())
+	slowest := <-conns
+	dial(t, a.Addr())
+	other := <-conns
+	other.Send(make([]byte, limit/2))
+	for !slowest.IsClosed() {
+		slowest.Send(make([]byte, 1<<18))
+	}
+	expectReason(t, closed[0], ErrSlowReader)
+	if other.IsClosed() {
+		t.Error("got both connections closed, want only the one with most bytes queued closed")
+	}
+	a.Stop()
+	if err := d.Stop(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -25,7 +25,7 @@
 // NewDialer starts event loops and returns a Dialer that uses them.
 func NewDialer(options Options) (*Dialer, error) {
 	d := &Dialer{options: options.withDefaults()}
-	events := &eventHandler{options: d.options}
+	events := &eventHandler{options: d.options, writes: writeBudget{limit: d.options.MaxQueuedWrites}}
 	client, err := gnet.NewClient(events, gnet.WithNumEventLoop(d.options.EventLoops), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithLogger(discardLogger{}), gnet.WithLogLevel(logging.FatalLevel))
 	if err != nil {
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("transport: connect to %s: %w", addr, err)
 	}
-	c := &Conn{handler: handler, options: &d.options, queued: &d.events.queued}
+	c := &Conn{handler: handler, options: &d.options, queued: &d.events.queued, writes: &d.events.writes}
 	if _, err := d.client.EnrollContext(socket, c); err != nil {
 		return nil, fmt.Errorf("transport: pass connection to %s to an event loop: %w", addr, err)
 	}
--- a/internal/transport/eventhandler.go
+++ b/internal/transport/eventhandler.go
@@ -13,6 +13,7 @@
 	gnet.BuiltinEventEngine
 	options Options
 	queued  queuedTasks // of all connections
+	writes  writeBudget // of all connections
 }
 
 // OnOpen implements gnet.EventHandler. The context of a connection is the Conn with which it was enrolled.
@@ -20,6 +21,7 @@
 	c := socket.Context().(*Conn)
 	c.socket, c.remoteAddr = socket, socket.RemoteAddr().String()
 	c.lastRead.Store(time.Now().UnixNano())
+	h.writes.add(c)
 	c.startIdleTimer()
 	if opener, ok := c.handler.(Opener); ok {
 		opener.Opened(c)
@@ -64,6 +66,7 @@
 	if !ok || c.closed.Swap(true) {
 		return gnet.None
 	}
+	h.writes.remove(c)
 	c.stopTimers()
 	c.handler.Closed(c, c.closeReason(err))
 	return gnet.None
--- a/internal/transport/writequeue.go
+++ b/internal/transport/writequeue.go
@@ -28,9 +28,6 @@
 			return
 		}
 		f(c.write)
-		if queued := c.socket.OutboundBuffered(); !c.closed.Load() && queued > c.options.MaxWriteQueue {
-			c.CloseInLoop(slowReaderError(int64(queued)))
-		}
 	})
 }
 
