The link of running tasks is kept until their node sends a message on a newer one

Cause: the kernel of a node that hangs accepts connections. An established one counted as proof that the former could be closed, and the node reported the ends on the link of the set-ups. Change: while tasks run there, a link on which the node has spoken is kept until it speaks on a newer one. TestReportOnReplacedLinkIsHandled wanted the former link closed although the node had said nothing on the newer one: the fault itself. The node now sends a message there first, which must close it; TestSilentNodeKeepsLinkOfItsTasks has the other half.

TestSilentNodeKeepsLinkOfItsTasks fails before, passes now.

--- a/internal/requests/link.go
+++ b/internal/requests/link.go
@@ -166,14 +166,13 @@
 	c.ensureLink(l.node)
 }
 
-// scheduleRetirement finishes a suspected link once linkRetirementDelay has passed and a newer link is up.
+// scheduleRetirement finishes a suspected link once linkRetirementDelay has passed and a newer link has replaced it.
 func (c *Core) scheduleRetirement(l *link) {
 	c.timers.Schedule(c.now+linkRetirementDelay, func() {
-		current := l.node.currentLink
 		switch {
-		case c.links[l.id] == nil || current == l && !l.suspected:
+		case c.links[l.id] == nil || l.node.currentLink == l && !l.suspected:
 			return
-		case current != l && current != nil && current.up:
+		case l.isReplaced():
 			c.finishLink(l)
 		default:
 			c.scheduleRetirement(l)
@@ -181,6 +180,18 @@
 	})
 }
 
+// isReplaced reports whether a newer link does what l did. An established connection shows that the node's machine works, but
+// not that its process does: the kernel of a node that hangs accepts connections. Once it goes on, the node reports the ends of its
+// tasks on the link of their set-up. So while tasks run there, a link on which the node has sent messages is kept until it sends one
+// on a newer link.
+func (l *link) isReplaced() bool {
+	current := l.node.currentLink
+	if current == l || current == nil || !current.up {
+		return false
+	}
+	return current.receivedAny || !l.receivedAny || len(l.node.attempts) == 0
+}
+
 // finishLink closes the writing side of a replaced link, and the whole link when the node has closed its side or after
 // finishTimeout. If the link were closed at once, a report of the node that crosses the close would be lost: the node sends it on
 // the link of its task, and again only on a link that is established later.
--- a/internal/requests/link_test.go
+++ b/internal/requests/link_test.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -206,6 +207,7 @@
 // one. Until the node has closed its side, its messages are handled, and nothing is sent on the link.
 func TestReportOnReplacedLinkIsHandled(t *testing.T) {
 	h, former, newer := newReplacedLink(t)
+	h.step(nodeReleased(newer, 99, CauseNormal)) // the node's process has accepted the newer link
 	for end := h.now + linkRetirementDelay; h.now < end && len(effectsOf[FinishLink](h)) == 0; {
 		h.advance(10 * time.Millisecond)
 	}
@@ -218,3 +220,36 @@
 	h.advance(2 * finishTimeout)
 	noEffect[CloseLink](h)
 }
+
+// Guards against ends that owners never learn of: the kernel of a node that hung accepted newer links, and the link of its tasks,
+// on which it reported their ends when it went on, was closed. It stays open until the node sends a message on a newer link.
+func TestSilentNodeKeepsLinkOfItsTasks(t *testing.T) {
+	const hang = 20 * time.Second
+	h := newHarness(t)
+	h.connect(1)
+	h.addNodes("n")
+	former := h.placeTask(1, 1).Link
+	newest := former
+	for end := h.now + hang; h.now < end; {
+		h.advance(10 * time.Millisecond)
+		for _, dial := range effectsOf[Dial](h) {
+			newest = dial.Link
+			h.step(LinkUp{dial.Link})
+		}
+	}
+	for _, effect := range h.allEffects {
+		if effect == (FinishLink{former}) || effect == (CloseLink{former}) {
+			t.Fatalf("got %T for the link of a running task, though its node has sent nothing on a newer one", effect)
+		}
+	}
+	if open := h.core.Stats().Links; newest == former || open > 4 {
+		t.Errorf("got %d links and the newest is %d, want the link replaced, and at most 4 open", open, newest)
+	}
+	h.step(nodeReleased(former, 1, CauseNormal))
+	expectEffect(h, Terminated{Conn: 1, Task: taskID(1), Cause: CauseNormal})
+	h.step(nodeReleased(newest, 99, CauseNormal))
+	h.advance(2 * linkRetirementDelay)
+	if got := effectsOf[FinishLink](h); !slices.Contains(got, FinishLink{former}) {
+		t.Errorf("got links %v finished after a message on the newest one, want %d among them", got, former)
+	}
+}
