The end of a task is notified at the address of its client before any other

Cause: once the connection of a task had ended, its notification went to the connection confirmed last, whoever's it was. Change: a task keeps its client's address. Where no owner is known anywhere, nothing is different.

--- a/internal/requests/adoption.go
+++ b/internal/requests/adoption.go
@@ -36,7 +36,7 @@
 	} else {
 		c.markLikelyOwner(in.Conn)
 	}
-	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, attempts: 1, unconfirmedIn: pool}
+	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, host: c.owners[in.Conn].host, attempts: 1, unconfirmedIn: pool}
 	pool.add(t, c.credibilityOf(in.Conn))
 	n := c.getOrAddNode(in.Node)
 	t.attempt = &attempt{task: t, node: n, startedAt: c.now, phase: phaseRunning, unlisted: unlisted}
--- a/internal/requests/core.go
+++ b/internal/requests/core.go
@@ -33,7 +33,7 @@
 	lastConfirmedSeq uint64            // the last ownerConnection.confirmedSeq that was assigned
 
 	undelivered      undeliveredNotifications
-	undeliveredTimer *timerqueue.Timer // runs notifyPossibleOwner
+	undeliveredTimer *timerqueue.Timer // runs sendAfterGrace
 	preAdoption      preAdoptionTerminations
 	shuttingDown     bool
 
--- a/internal/requests/notification.go
+++ b/internal/requests/notification.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -17,15 +18,22 @@
 	regularPings = 3
 )
 
+// undeliveredNotification is a notification that waits for an owner's connection.
+type undeliveredNotification struct {
+	Terminated
+	host   string // address from which the task was submitted or adopted
+	graced Time   // when its undeliveredGrace ends
+}
+
 // undeliveredNotifications are the notifications that wait for an owner's connection. Those about adopted tasks that no node has
 // confirmed wait apart, so that reports of misbehaving clients do not displace the others.
 type undeliveredNotifications struct {
-	confirmed   []Terminated
-	unconfirmed []Terminated
+	confirmed   []undeliveredNotification
+	unconfirmed []undeliveredNotification
 }
 
 // add adds a notification. It returns false if one was dropped: the new one or, of those about unconfirmed tasks, the oldest.
-func (u *undeliveredNotifications) add(notification Terminated, unconfirmed bool) bool {
+func (u *undeliveredNotifications) add(notification undeliveredNotification, unconfirmed bool) bool {
 	if unconfirmed {
 		dropped := len(u.unconfirmed) >= maxUndeliveredUnconfirmed
 		if dropped {
@@ -43,6 +51,24 @@
 
 func (u *undeliveredNotifications) isEmpty() bool { return len(u.confirmed)+len(u.unconfirmed) == 0 }
 
+// removeIf removes the notifications for which remove returns true, in the order in which they were added.
+func (u *undeliveredNotifications) removeIf(remove func(undeliveredNotification) bool) {
+	u.confirmed = slices.DeleteFunc(u.confirmed, remove)
+	u.unconfirmed = slices.DeleteFunc(u.unconfirmed, remove)
+}
+
+// nextGraced returns when the next grace ends that has not ended by now; 0: none.
+func (u *undeliveredNotifications) nextGraced(now Time) (next Time) {
+	for _, waiting := range [][]undeliveredNotification{u.confirmed, u.unconfirmed} {
+		for _, n := range waiting {
+			if n.graced > now && (next == 0 || n.graced < next) {
+				next = n.graced
+			}
+		}
+	}
+	return next
+}
+
 // notifyTerminated notifies the owner of a running task that the task has ended.
 func (c *Core) notifyTerminated(t *task, cause Cause) {
 	c.deliver(t, Terminated{Task: t.id, Cause: cause})
@@ -53,33 +79,85 @@
 	c.deliver(t, Terminated{Task: t.id, Migrate: true})
 }
 
-// deliver sends a notification on the connection of its task or, if that is closed, on the connection that likelyOwner
-// returns. If there is none, the notification waits until a connection is marked as a confirmed or likely owner's, and from
-// undeliveredGrace on also for a possible owner's.
+// deliver sends a notification on the connection of its task or, if that is closed, on the connection of the same address that
+// likelyOwner returns. If there is none, the notification waits until such a connection is marked as a confirmed or likely owner's,
+// and from undeliveredGrace on for the connection that recipientAfterGrace returns.
 func (c *Core) deliver(t *task, notification Terminated) {
 	o := c.owners[t.conn]
 	if o == nil {
-		o = c.likelyOwner()
+		o = c.likelyOwner(func(o *ownerConnection) bool { return o.host == t.host })
 	}
 	if o != nil {
-		notification.Conn = o.conn
-		c.emit(notification)
+		c.notify(o, notification)
 		return
 	}
-	if !c.undelivered.add(notification, t.unconfirmed()) {
+	waiting := undeliveredNotification{Terminated: notification, host: t.host, graced: c.now + undeliveredGrace}
+	if !c.undelivered.add(waiting, t.unconfirmed()) {
 		c.stats.DroppedNotifications++
 	}
-	if c.undeliveredTimer == nil || !c.undeliveredTimer.Queued() {
-		c.undeliveredTimer = c.timers.Schedule(c.now+undeliveredGrace, c.notifyPossibleOwner)
+	c.scheduleUndelivered()
+}
+
+// notify sends a notification on a connection.
+func (c *Core) notify(o *ownerConnection, notification Terminated) {
+	notification.Conn = o.conn
+	c.emit(notification)
+}
+
+// scheduleUndelivered schedules sendAfterGrace for the end of the next grace.
+func (c *Core) scheduleUndelivered() {
+	if c.undeliveredTimer != nil && c.undeliveredTimer.Queued() {
+		return
+	}
+	if next := c.undelivered.nextGraced(c.now); next > 0 {
+		c.undeliveredTimer = c.timers.Schedule(next, c.sendAfterGrace)
 	}
 }
 
-// notifyPossibleOwner sends the undelivered notifications on the connection that possibleOwner returns. If there is none, it does
-// so as soon as a connection becomes a possible owner's.
-func (c *Core) notifyPossibleOwner() {
-	if o := c.possibleOwner(); o != nil {
-		c.sendUndelivered(o.conn)
+// sendAfterGrace sends the notifications whose grace has ended on the connections that recipientAfterGrace returns. Those for
+// which there is none wait until a connection becomes a possible owner's.
+func (c *Core) sendAfterGrace() {
+	c.undelivered.removeIf(func(n undeliveredNotification) bool {
+		if n.graced > c.now {
+			return false
+		}
+		o := c.recipientAfterGrace(n.host)
+		if o == nil {
+			return false
+		}
+		c.notify(o, n.Terminated)
+		return true
+	})
+	c.scheduleUndelivered()
+}
+
+// recipientAfterGrace returns the connection for a notification about a task from an address, none of whose connections is a
+// confirmed or likely owner's. If one of another address is, any connection of the task's own address is better: the other owner
+// does not know the task. Otherwise it returns the connection that possibleOwner returns, or nil.
+func (c *Core) recipientAfterGrace(host string) *ownerConnection {
+	sameHost := func(o *ownerConnection) bool { return o.host == host }
+	if o := c.likelyOwner(sameHost); o != nil {
+		return o
+	}
+	other := c.likelyOwner(func(*ownerConnection) bool { return true })
+	if other == nil {
+		return c.possibleOwner()
+	}
+	if o := c.oldestConnection(sameHost); o != nil {
+		return o
 	}
+	return other
+}
+
+// oldestConnection returns the oldest connection that meets a condition, or nil if none does.
+func (c *Core) oldestConnection(condition func(*ownerConnection) bool) *ownerConnection {
+	var oldest *ownerConnection
+	for _, o := range c.owners {
+		if condition(o) && (oldest == nil || o.conn < oldest.conn) {
+			oldest = o
+		}
+	}
+	return oldest
 }
 
 // possibleOwner returns the connection that may be an owner's although it is not a likely owner's: a request on it was rejected
@@ -111,31 +189,31 @@
 
 // notifyIfPossibleOwner sends the notifications that have waited for undeliveredGrace to a possible owner.
 func (c *Core) notifyIfPossibleOwner() {
-	if !c.undelivered.isEmpty() && !c.undeliveredTimer.Queued() {
-		c.notifyPossibleOwner()
+	if !c.undelivered.isEmpty() {
+		c.sendAfterGrace()
 	}
 }
 
-// sendUndelivered sends all undelivered notifications on a connection.
-func (c *Core) sendUndelivered(conn ConnID) {
-	for _, waiting := range [][]Terminated{c.undelivered.confirmed, c.undelivered.unconfirmed} {
-		for _, notification := range waiting {
-			notification.Conn = conn
-			c.emit(notification)
+// sendUndelivered sends the undelivered notifications that are for a confirmed or likely owner's connection: those about tasks from
+// its address, and those whose grace has ended.
+func (c *Core) sendUndelivered(o *ownerConnection) {
+	c.undelivered.removeIf(func(n undeliveredNotification) bool {
+		if n.host != o.host && n.graced > c.now {
+			return false
 		}
-	}
-	c.undelivered = undeliveredNotifications{}
-	c.timers.Cancel(c.undeliveredTimer)
+		c.notify(o, n.Terminated)
+		return true
+	})
 }
 
-// likelyOwner returns the connection that was most recently confirmed to be an owner's. If none was, it returns the one with
-// the most adoptions, and of several such the oldest. It returns nil if no connection was confirmed or has adoptions:
-// misbehaving clients connect from owners' addresses and report tasks that no node runs, and a notification that is sent to
-// one of them is lost.
-func (c *Core) likelyOwner() *ownerConnection {
+// likelyOwner returns, of the connections that meet a condition, the one most recently confirmed to be an owner's. If none was, it
+// returns the one with the most adoptions, and of several such the oldest. It returns nil if none was confirmed or has adoptions:
+// misbehaving clients connect from owners' addresses and report tasks that no node runs, and a notification that is sent to one of
+// them is lost.
+func (c *Core) likelyOwner(condition func(*ownerConnection) bool) *ownerConnection {
 	var best *ownerConnection
 	for _, o := range c.owners {
-		if o.confirmedSeq == 0 && o.adoptions == 0 {
+		if o.confirmedSeq == 0 && o.adoptions == 0 || !condition(o) {
 			continue
 		}
 		if best == nil || compareLikelihood(o, best) > 0 {
--- a/internal/requests/notification_test.go
+++ b/internal/requests/notification_test.go
@@ -151,3 +151,49 @@
 	h.placeTask(3, 9)
 	expectEffect(h, Terminated{Conn: 3, Task: taskID(7), Cause: CauseNormal})
 }
+
+// Guards against notifications that go to a client which never had the task: when the connection of a task had ended, its end was
+// notified on the connection that was confirmed last, whoever's it was.
+func TestEndIsNotifiedAtAddressOfItsTask(t *testing.T) {
+	const taskConn, otherOwner, sameAddress = 1, 2, 3
+	for _, test := range []struct {
+		name      string
+		reconnect func(h *harness)
+		want      ConnID // that is notified
+		atOnce    bool
+	}{
+		{"the client is connected, and has done nothing yet", func(h *harness) {
+			h.step(OwnerConnected{Conn: sameAddress, Host: "client"})
+		}, sameAddress, false},
+		{"the client is connected, and known as an owner", func(h *harness) {
+			h.step(OwnerConnected{Conn: sameAddress, Host: "client"})
+			h.placeTask(sameAddress, 8)
+			h.placeTask(otherOwner, 9)
+		}, sameAddress, true},
+		{"the client is not connected", func(*harness) {}, otherOwner, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addNodes("n")
+			h.step(OwnerConnected{Conn: taskConn, Host: "client"}, OwnerConnected{Conn: otherOwner, Host: "other"})
+			link := h.placeTask(taskConn, 1).Link
+			h.placeTask(otherOwner, 2)
+			h.step(OwnerDisconnected{taskConn})
+			test.reconnect(h)
+			h.step(nodeReleased(link, 1, CauseNormal))
+			if got := h.notificationsOf(1); len(got) > 0 != test.atOnce {
+				t.Errorf("got notifications on connections %v at once, want some %v", got, test.atOnce)
+			}
+			if !test.atOnce {
+				h.advance(undeliveredGrace)
+			}
+			if got := h.notificationsOf(1); len(got) != 1 || got[0] != test.want {
+				t.Errorf("got notifications on connections %v, want one on %d", got, test.want)
+			}
+			h.advance(time.Second)
+			if got := h.notificationsOf(1); len(got) > 0 {
+				t.Errorf("got more notifications on connections %v", got)
+			}
+		})
+	}
+}
--- a/internal/requests/owner.go
+++ b/internal/requests/owner.go
@@ -9,6 +9,7 @@
 // ownerConnection is the state of an owner's connection.
 type ownerConnection struct {
 	conn         ConnID
+	host         string           // the peer's address without its port
 	pending      map[string]*task // by task ID; nil before the first request
 	confirmedSeq uint64           // number of its latest confirmation, counted over all connections; 0: never confirmed
 	adoptions    int              // number of tasks on listed nodes that were adopted from it
@@ -31,7 +32,7 @@
 
 // connectOwner registers an owner's connection. Admission control may then require that other connections or this one be closed.
 func (c *Core) connectOwner(in OwnerConnected) {
-	c.owners[in.Conn] = &ownerConnection{conn: in.Conn}
+	c.owners[in.Conn] = &ownerConnection{conn: in.Conn, host: in.Host}
 	for _, id := range c.admission.Opened(c.now, admission.ID(in.Conn), in.Host) {
 		c.closeOwner(ConnID(id))
 	}
@@ -109,7 +110,7 @@
 		for _, pool := range c.adoptionPools() {
 			pool.connectionConfirmed(conn)
 		}
-		c.sendUndelivered(conn)
+		c.sendUndelivered(o)
 	}
 }
 
@@ -120,7 +121,7 @@
 	if o := c.owners[conn]; o != nil {
 		o.adoptions++
 		c.admission.MarkLikelyOwner(admission.ID(conn))
-		c.sendUndelivered(conn)
+		c.sendUndelivered(o)
 	}
 }
 
--- a/internal/requests/request.go
+++ b/internal/requests/request.go
@@ -14,6 +14,7 @@
 	description    string   // empty once the request is no longer pending
 	pendingBytes   int      // reserved in Core.pendingBytes while the request is pending
 	conn           ConnID   // connection on which it was submitted or adopted
+	host           string   // address of that connection's peer
 	pending        bool     // whether its owner waits for the response
 	attempts       int      // number of attempts so far
 	attempt        *attempt // the current one, or nil
@@ -74,6 +75,7 @@
 		idempotencyKey: in.IdempotencyKey,
 		description:    in.Description,
 		conn:           in.Conn,
+		host:           o.host,
 		pending:        true,
 		pendingBytes:   in.size(),
 	}
