Links to nodes with tasks take turns by the time at which they were established

Cause: a link gave way to another node with tasks only after 1.8 s without use, and reports are use, so the nodes without reports shared the few other links. Change: such a link may be closed 1.8 s after it was established, and the one established first is. Why it works: each of n nodes gets a link at least once in the time that n links take their turns.

TestLinkPoolIsBounded with usage reports of every other node fails before (6.08 s without a link), passes now.

--- a/internal/requests/link.go
+++ b/internal/requests/link.go
@@ -17,6 +17,7 @@
 	finishing      bool // nothing is sent on it any more, and the node's last messages on it are awaited
 	pendingOffers  int  // offers that were sent on the link and have no response yet
 	receivedAny    bool // a message of the node has arrived on it
+	establishedAt  Time
 	lastReceivedAt Time
 	lastUsedAt     Time // when it was established, or last used for an offer or a message of the node
 }
@@ -56,6 +57,7 @@
 	}
 	n := l.node
 	l.up = true
+	l.establishedAt = c.now
 	l.lastUsedAt = c.now
 	l.lastReceivedAt = c.now
 	n.lastReceivedAt = c.now
--- a/internal/requests/linkpool.go
+++ b/internal/requests/linkpool.go
@@ -55,7 +55,7 @@
 }
 
 // evictionCandidate returns the link to close in favor of a new one of the given priority: the link of the highest rank, among
-// several such the least recently used, and among several of these the oldest. It returns nil if no link may be closed.
+// several such the first in evictionOrder, and among several of these the oldest. It returns nil if no link may be closed.
 func (c *Core) evictionCandidate(priority linkPriority) *link {
 	var best *link
 	var bestRank evictionRank
@@ -64,7 +64,7 @@
 		if rank == rankNotEvictable {
 			continue
 		}
-		evictEarlier := best != nil && cmp.Or(cmp.Compare(l.lastUsedAt, best.lastUsedAt), cmp.Compare(l.id, best.id)) < 0
+		evictEarlier := best != nil && cmp.Or(cmp.Compare(rank.evictionOrder(l), rank.evictionOrder(best)), cmp.Compare(l.id, best.id)) < 0
 		if rank > bestRank || rank == bestRank && evictEarlier {
 			best, bestRank = l, rank
 		}
@@ -82,10 +82,20 @@
 	rankReplaced                  // a newer link has replaced it
 )
 
-// evictionIdleDivisor sets the time for which a link to a node with running tasks must be unused before it may be closed in
-// favor of a link to another such node: Config.NodeUnreachableTimeout / evictionIdleDivisor. If these nodes share too few
-// links, each of several nodes thus gets a link before it counts as unreachable.
-const evictionIdleDivisor = 4
+// evictionOrder returns the time by which links of a rank are ordered for eviction. Links to nodes with running tasks take turns,
+// whether they are used or not: nodes that send usage reports would otherwise keep their links, and the others could not report
+// the ends of their tasks.
+func (r evictionRank) evictionOrder(l *link) Time {
+	if r == rankRunningTasks {
+		return l.establishedAt
+	}
+	return l.lastUsedAt
+}
+
+// linkTurnDivisor sets how long a link to a node with running tasks stays up before it may be closed in favor of a link to
+// another such node: Config.NodeUnreachableTimeout / linkTurnDivisor. If these nodes share too few links, each of several nodes
+// thus gets a link in time to report the ends of its tasks.
+const linkTurnDivisor = 4
 
 // rankForEviction returns the rank of l among the links that may be closed in favor of a new link of priority wanted.
 func (c *Core) rankForEviction(l *link, wanted linkPriority) evictionRank {
@@ -98,7 +108,7 @@
 		return rankNoAttempts
 	case l.node.linkPriority() == priorityPendingOffer:
 		return rankNotEvictable
-	case wanted == priorityPendingOffer || c.now-l.lastUsedAt >= c.config.NodeUnreachableTimeout/evictionIdleDivisor:
+	case wanted == priorityPendingOffer || c.now-l.establishedAt >= c.config.NodeUnreachableTimeout/linkTurnDivisor:
 		return rankRunningTasks
 	}
 	return rankNotEvictable
--- a/internal/requests/linkpool_test.go
+++ b/internal/requests/linkpool_test.go
@@ -62,9 +62,32 @@
 	return busy
 }
 
+// reportUsage lets each node whose index is a multiple of step report the usage of a task on its links.
+func (h *linkPoolHarness) reportUsage(nodes []string, step int) {
+	for i := 0; i < len(nodes); i += step {
+		attempts := h.core.nodes[nodes[i]].sortedAttempts()
+		for link, node := range h.open {
+			if node == nodes[i] && len(attempts) > 0 {
+				h.step(NodeMessage{Link: link, Kind: NodeUsage, Task: attempts[0].task.id, Amount: 1})
+				h.respond()
+				break
+			}
+		}
+	}
+}
+
 // If there are more nodes than MaxLinks, the limit is kept, a node with a pending offer gets a link, and a node with running
-// tasks gets one often enough that none of them counts as lost while the node is reachable.
+// tasks gets one often enough that none of them counts as lost while the node is reachable. Guards also against ends that are
+// notified too late: nodes that send usage reports kept their links, and the others waited for one.
 func TestLinkPoolIsBounded(t *testing.T) {
+	t.Run("no usage reports", func(t *testing.T) { checkLinkPool(t, 0) })
+	t.Run("usage reports of every other node", func(t *testing.T) { checkLinkPool(t, 2) })
+}
+
+// checkLinkPool checks the links in a run in which each node whose index is a multiple of reportStep sends usage reports all the
+// time; 0: none does.
+func checkLinkPool(t *testing.T, reportStep int) {
+	t.Helper()
 	const nodes, maxLinks, tasks = 24, 10, 120
 	const maxUnlinked = 6 * time.Second // NodeUnreachableTimeout of testConfig
 	h := &linkPoolHarness{
@@ -98,6 +121,9 @@
 	for range 200 {
 		h.advance(100 * time.Millisecond)
 		h.respond()
+		if reportStep > 0 {
+			h.reportUsage(ids, reportStep)
+		}
 		for _, node := range busy {
 			if got := h.now - h.lastDialed[node]; !h.hasLink(node) && got > maxUnlinked {
 				t.Fatalf("%s: got no link for %v, want at most %v", node, got, maxUnlinked)
--- a/internal/requests/nodefailure_test.go
+++ b/internal/requests/nodefailure_test.go
@@ -57,7 +57,7 @@
 // The default timeouts must leave time to replace the link of an unresponsive node, and for the newer link to fail, before the
 // node counts as unreachable. The check that finds it unreachable must meet the protocol's deadline.
 func TestNodeFailureTimeoutsAreOrdered(t *testing.T) {
-	unusedBeforeEviction := DefaultNodeUnreachableTimeout / evictionIdleDivisor
+	unusedBeforeEviction := DefaultNodeUnreachableTimeout / linkTurnDivisor
 	for _, test := range []struct {
 		name           string
 		shorter, limit time.Duration
