The end of an adopted task by the release of a failed offer is notified to its owner

Cause: the node's cause 31 counted as an end that the owner knows of. Change: releases of ended attempts are remembered for 30 s; for an adopted task with such a release, cause 31 is notified as 41 unless the owner has released the task.

Measured, arm64: TestReleaseReadAfterHandOverIsNotified, two of four cases fail before, all pass now.

--- a/internal/requests/adoption.go
+++ b/internal/requests/adoption.go
@@ -39,7 +39,8 @@
 	t := &task{id: in.Task.ID, spec: in.Task, conn: in.Conn, host: c.owners[in.Conn].host, attempts: 1, unconfirmedIn: pool}
 	pool.add(t, c.credibilityOf(in.Conn))
 	n := c.getOrAddNode(in.Node)
-	t.attempt = &attempt{task: t, node: n, startedAt: c.now, phase: phaseRunning, unlisted: unlisted}
+	t.attempt = &attempt{task: t, node: n, startedAt: c.now, phase: phaseRunning, unlisted: unlisted,
+		unreadRelease: n.hasUnreadRelease(t.id, c.now)}
 	c.tasks[t.id] = t
 	n.attempts[t.id] = t.attempt
 	c.stats.Running++
--- a/internal/requests/attempt.go
+++ b/internal/requests/attempt.go
@@ -48,6 +48,7 @@
 	timeout           time.Duration     // time from startedAt until the attempt times out
 	timer             *timerqueue.Timer // for the timeout of the current phase
 	unlisted          bool              // the task was adopted on a node that no endpoint list had contained
+	unreadRelease     bool              // the task was adopted, and its node may still read the release of a former attempt
 	releaseLink       *link             // on which the release was last sent; nil: never
 	releasedAt        Time              // when the release was last sent
 	releasedOnNewLink bool              // the release was last sent on a link that had just been established
--- a/internal/requests/nodemessage.go
+++ b/internal/requests/nodemessage.go
@@ -53,6 +53,9 @@
 		c.stats.StaleMessages++
 		c.releaseAtNode(l, in.Task, CauseNormal)
 	case NodeReleased:
+		if in.Cause == CauseCanceled && l.node.hasUnreadRelease(in.Task, c.now) {
+			in.Cause = CauseLost // as in notifiedCause: if the owner hands the task over, it does not know of the end
+		}
 		l.node.forgetRelease(in.Task)
 		c.recordPreAdoptionTermination(l.node, in)
 	case NodeConfirmedRelease:
@@ -108,8 +111,8 @@
 		c.endAttempt(a, offerOutcome(in.Cause), in.Reason)
 	case phaseRunning:
 		outcome := runningOutcome(in.Cause)
-		if in.Cause != CauseCanceled {
-			c.notifyTerminated(a.task, in.Cause)
+		if cause := a.notifiedCause(in.Cause); cause != CauseCanceled {
+			c.notifyTerminated(a.task, cause)
 		}
 		c.stats.countTermination(outcome, in.Reason)
 		c.endAttempt(a, outcome, in.Reason)
@@ -118,6 +121,16 @@
 	}
 }
 
+// notifiedCause returns the cause with which the owner of a running task is notified that its node has released it. It is
+// CauseCanceled if the owner ended the task itself. A node gives that cause also for a task that it ended because it has read the
+// release of a former attempt, of which the owner does not know.
+func (a *attempt) notifiedCause(nodeCause Cause) Cause {
+	if nodeCause == CauseCanceled && a.unreadRelease {
+		return CauseLost
+	}
+	return nodeCause
+}
+
 // offerOutcome returns the outcome of an offer that the node released without having accepted it.
 func offerOutcome(cause Cause) flaxshelf.Outcome {
 	switch cause {
--- a/internal/requests/release.go
+++ b/internal/requests/release.go
@@ -19,6 +19,9 @@
 	// releaseRepeatWindow is how long the release of an ended attempt may be sent again. The owner of a failed request hands
 	// the task to a scheduler if it runs nevertheless, not earlier than 3 s after the failure, and it must not be released then.
 	releaseRepeatWindow = 2 * time.Second
+	// releaseMemory is how long after a release its node may read it, as after it has hung. If the task was handed over meanwhile,
+	// the release ends it, and its owner must be notified.
+	releaseMemory = 30 * time.Second
 	// maxRecentReleases is the maximum number of recent releases that are kept for one node. New ones replace the oldest.
 	maxRecentReleases = 256
 )
@@ -28,6 +31,13 @@
 	taskID string
 	cause  Cause
 	sentAt Time
+	// repeated reports whether a link was established after the release was sent, so that it is not sent again.
+	repeated bool
+}
+
+// mayBeRepeated reports whether the release may be sent again.
+func (r *recentRelease) mayBeRepeated(now Time) bool {
+	return !r.repeated && now-r.sentAt < releaseRepeatWindow
 }
 
 // releaseRunning releases a running task at its node, and schedules the check for the node's confirmation.
@@ -136,9 +146,16 @@
 	n.recentReleases = append(n.recentReleases, recentRelease{taskID: a.task.id, cause: cause, sentAt: c.now})
 }
 
-// evictRecentReleases removes the releases that are too old to be sent again and, if the limit is reached, the oldest one.
+// hasUnreadRelease reports whether the node may still read the release of an ended attempt of a task.
+func (n *node) hasUnreadRelease(taskID string, now Time) bool {
+	return slices.ContainsFunc(n.recentReleases, func(r recentRelease) bool {
+		return r.taskID == taskID && now-r.sentAt < releaseMemory
+	})
+}
+
+// evictRecentReleases removes the releases that their node has certainly read and, if the limit is reached, the oldest one.
 func (n *node) evictRecentReleases(now Time) {
-	kept := slices.IndexFunc(n.recentReleases, func(r recentRelease) bool { return now-r.sentAt < releaseRepeatWindow })
+	kept := slices.IndexFunc(n.recentReleases, func(r recentRelease) bool { return now-r.sentAt < releaseMemory })
 	if kept < 0 {
 		kept = len(n.recentReleases)
 	}
@@ -155,12 +172,13 @@
 // failed before it transmitted them. A task that has another attempt at the node by now is left alone.
 func (c *Core) repeatRecentReleases(n *node, l *link) {
 	n.evictRecentReleases(c.now)
-	for _, r := range n.recentReleases {
-		if n.attempts[r.taskID] == nil {
+	for i := range n.recentReleases {
+		r := &n.recentReleases[i]
+		if r.mayBeRepeated(c.now) && n.attempts[r.taskID] == nil {
 			c.repeatRelease(r, l)
 		}
+		r.repeated = true
 	}
-	n.recentReleases = nil
 }
 
 // releaseReportedTask sends the recent release of a task again, on the link of a usage report that shows that the task runs. It
@@ -169,13 +187,13 @@
 	for i := range l.node.recentReleases {
 		r := &l.node.recentReleases[i]
 		age := c.now - r.sentAt
-		if r.taskID == taskID && age > releaseCrossingTime && age < releaseRepeatWindow {
-			c.repeatRelease(*r, l)
+		if r.taskID == taskID && age > releaseCrossingTime && r.mayBeRepeated(c.now) {
+			c.repeatRelease(r, l)
 		}
 	}
 }
 
-func (c *Core) repeatRelease(r recentRelease, l *link) {
+func (c *Core) repeatRelease(r *recentRelease, l *link) {
 	c.stats.RepeatedReleases++
 	c.releaseAtNode(l, r.taskID, r.cause)
 }
--- a/internal/requests/release_test.go
+++ b/internal/requests/release_test.go
@@ -154,3 +154,46 @@
 		t.Errorf("got newest release of task %s, want %s", got, want)
 	}
 }
+
+// Guards against ends that owners never learn of: a node read the release of an offer that had failed only after the owner had
+// handed the task over, and the cause of its end counted as one that the owner knows of.
+func TestReleaseReadAfterHandOverIsNotified(t *testing.T) {
+	const handOverDelay = 3 * time.Second
+	for _, test := range []struct {
+		name          string
+		endFirst      bool // the node's report arrives before the task is handed over
+		releasedByUs  bool // an offer of the task has failed before
+		wantNotified  bool
+		ownerReleases bool // the owner ends the task itself
+	}{
+		{name: "read after the hand-over", releasedByUs: true, wantNotified: true},
+		{name: "read before the hand-over", releasedByUs: true, endFirst: true, wantNotified: true},
+		{name: "never offered here", wantNotified: false},
+		{name: "ended by its owner", releasedByUs: true, ownerReleases: true, wantNotified: false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, func(c *Config) { c.Placer.MaxAttempts = 1 })
+			h.connect(1)
+			h.addNodes("n")
+			link := h.links["n"]
+			if test.releasedByUs {
+				h.step(h.newSubmit(1, 7))
+				h.advance(oneEffect[Offer](h).TimeLeft)
+				expectEffect(h, SendRelease{Link: link, Task: taskID(7), Cause: CauseNormal})
+			}
+			h.advance(handOverDelay)
+			end, adopt := nodeReleased(link, 7, CauseCanceled), h.newAdopt(1, "n", 7)
+			switch {
+			case test.endFirst:
+				h.step(end, adopt)
+			case test.ownerReleases:
+				h.step(adopt, Release{Conn: 1, Task: taskID(7)}, end)
+			default:
+				h.step(adopt, end)
+			}
+			if got := h.notificationsOf(7); len(got) > 0 != test.wantNotified {
+				t.Errorf("got notifications on connections %v, want some %v", got, test.wantNotified)
+			}
+		})
+	}
+}
