Lines over 130 characters are wrapped, and what the linters name is mended

A parameter that nothing used is gone, the comparison of eviction candidates is a function, and the checker's cases have an end on the other node too.

--- a/internal/platform/owner_handler.go
+++ b/internal/platform/owner_handler.go
@@ -75,8 +75,8 @@
 }
 
 // decode decodes the complete messages at the start of in, and reserves bytes for their inputs, which it returns in one message
-// for the run loop. used is the number of bytes that they take. Tasks that the owner releases or migrates are recorded at once, so
-// that offers of them that are still queued are not written.
+// for the run loop. used is the number of bytes that they take. Tasks that the owner releases or migrates are recorded at
+// once, so that offers of them that are still queued are not written.
 func (h *ownerHandler) decode(c *transport.Conn, in []byte, now requests.Time) (decoded message, used int, err error) {
 	config := h.scheduler.config.Load()
 	decoded = message{receivedAt: now, owner: h.id}
--- a/internal/requests/link.go
+++ b/internal/requests/link.go
@@ -183,9 +183,9 @@
 }
 
 // isReplaced reports whether a newer link does what l did. An established connection shows that the node's machine works, but
-// not that its process does: the kernel of a node that hangs accepts connections. Once it goes on, the node reports the ends of its
-// tasks on the link of their set-up. So while tasks run there, a link on which the node has sent messages is kept until it sends one
-// on a newer link.
+// not that its process does: the kernel of a node that hangs accepts connections. Once it goes on, the node reports the ends
+// of its tasks on the link of their set-up. So while tasks run there, a link on which the node has sent messages is kept until
+// it sends one on a newer link.
 func (l *link) isReplaced() bool {
 	current := l.node.currentLink
 	if current == l || current == nil || !current.up {
--- a/internal/requests/linkpool.go
+++ b/internal/requests/linkpool.go
@@ -64,8 +64,7 @@
 		if rank == rankNotEvictable {
 			continue
 		}
-		evictEarlier := best != nil && cmp.Or(cmp.Compare(rank.evictionOrder(l), rank.evictionOrder(best)), cmp.Compare(l.id, best.id)) < 0
-		if rank > bestRank || rank == bestRank && evictEarlier {
+		if rank > bestRank || rank == bestRank && rank.compareForEviction(l, best) < 0 {
 			best, bestRank = l, rank
 		}
 	}
@@ -92,6 +91,11 @@
 	return l.lastUsedAt
 }
 
+// compareForEviction returns a negative number if, of two links of the rank, a is to be evicted first.
+func (r evictionRank) compareForEviction(a, b *link) int {
+	return cmp.Or(cmp.Compare(r.evictionOrder(a), r.evictionOrder(b)), cmp.Compare(a.id, b.id))
+}
+
 // linkTurnDivisor sets how long a link to a node with running tasks stays up before it may be closed in favor of a link to
 // another such node: Config.NodeUnreachableTimeout / linkTurnDivisor. If these nodes share too few links, each of several nodes
 // thus gets a link in time to report the ends of its tasks.
--- a/internal/requests/notification.go
+++ b/internal/requests/notification.go
@@ -80,8 +80,8 @@
 }
 
 // deliver sends a notification on the connection of its task or, if that is closed, on the connection of the same address that
-// likelyOwner returns. If there is none, the notification waits until such a connection is marked as a confirmed or likely owner's,
-// and from undeliveredGrace on for the connection that recipientAfterGrace returns.
+// likelyOwner returns. If there is none, the notification waits until such a connection is marked as a confirmed or likely
+// owner's, and from undeliveredGrace on for the connection that recipientAfterGrace returns.
 func (c *Core) deliver(t *task, notification Terminated) {
 	o := c.owners[t.conn]
 	if o == nil {
@@ -194,8 +194,8 @@
 	}
 }
 
-// sendUndelivered sends the undelivered notifications that are for a confirmed or likely owner's connection: those about tasks from
-// its address, and those whose grace has ended.
+// sendUndelivered sends the undelivered notifications that are for a confirmed or likely owner's connection: those about tasks
+// from its address, and those whose grace has ended.
 func (c *Core) sendUndelivered(o *ownerConnection) {
 	c.undelivered.removeIf(func(n undeliveredNotification) bool {
 		if n.host != o.host && n.graced > c.now {
@@ -206,10 +206,10 @@
 	})
 }
 
-// likelyOwner returns, of the connections that meet a condition, the one most recently confirmed to be an owner's. If none was, it
-// returns the one with the most adoptions, and of several such the oldest. It returns nil if none was confirmed or has adoptions:
-// misbehaving clients connect from owners' addresses and report tasks that no node runs, and a notification that is sent to one of
-// them is lost.
+// likelyOwner returns, of the connections that meet a condition, the one most recently confirmed to be an owner's. If none
+// was, it returns the one with the most adoptions, and of several such the oldest. It returns nil if none was confirmed or has
+// adoptions: misbehaving clients connect from owners' addresses and report tasks that no node runs, and a notification that is
+// sent to one of them is lost.
 func (c *Core) likelyOwner(condition func(*ownerConnection) bool) *ownerConnection {
 	var best *ownerConnection
 	for _, o := range c.owners {
--- a/internal/requests/release.go
+++ b/internal/requests/release.go
@@ -19,8 +19,8 @@
 	// releaseRepeatWindow is how long the release of an ended attempt may be sent again. The owner of a failed request hands
 	// the task to a scheduler if it runs nevertheless, not earlier than 3 s after the failure, and it must not be released then.
 	releaseRepeatWindow = 2 * time.Second
-	// releaseMemory is how long after a release its node may read it, as after it has hung. If the task was handed over meanwhile,
-	// the release ends it, and its owner must be notified.
+	// releaseMemory is how long after a release its node may read it, as after it has hung. If the task was handed over
+	// meanwhile, the release ends it, and its owner must be notified.
 	releaseMemory = 30 * time.Second
 	// maxRecentReleases is the maximum number of recent releases that are kept for one node. New ones replace the oldest.
 	maxRecentReleases = 256
--- a/internal/requests/request.go
+++ b/internal/requests/request.go
@@ -90,8 +90,11 @@
 
 // size returns the size of a request in bytes while it is pending.
 func (in *Submit) size() int {
-	texts := len(in.Task.ID) + len(in.Task.Key) + len(in.Task.Service) + len(in.Class) + len(in.IdempotencyKey) + len(in.Description)
-	return requestOverhead + texts
+	size := requestOverhead
+	for _, text := range []string{in.Task.ID, in.Task.Key, in.Task.Service, in.Class, in.IdempotencyKey, in.Description} {
+		size += len(text)
+	}
+	return size
 }
 
 // beginRequest reserves what a pending request needs. It returns false if a limit on pending requests is reached.
--- a/internal/testbed/rules/connection.go
+++ b/internal/testbed/rules/connection.go
@@ -158,7 +158,7 @@
 	case !fromListener:
 		c.schedulerFrameSent(link, frame)
 	case link.protocol == NodeProtocol:
-		c.nodeFrameSent(link, frame)
+		c.nodeFrameSent(frame)
 	}
 }
 
--- a/internal/testbed/rules/offer.go
+++ b/internal/testbed/rules/offer.go
@@ -126,7 +126,7 @@
 }
 
 // nodeFrameSent processes a frame when a node sends it, before it is delivered to the scheduler.
-func (c *checker) nodeFrameSent(link *connection, frame *nodepb.Frame) {
+func (c *checker) nodeFrameSent(frame *nodepb.Frame) {
 	switch body := frame.Body.(type) {
 	case *nodepb.Frame_Accepted:
 		c.nodeAccepted(body.Accepted.Attempt)
--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -67,6 +67,9 @@
 			offer(node2Connection, "j/1/1", "safe"), []int{NoDuplicateStart}},
 		{"after its end", first("unsafe").accept(node1Connection, "j/1/0").at(600).end(node1Connection, "j/1/0").
 			offer(node2Connection, "j/1/1", "unsafe"), nil},
+		{"after its end on the other node", newRecording().offer(node2Connection, "j/1/0", "unsafe").
+			accept(node2Connection, "j/1/0").at(600).end(node2Connection, "j/1/0").
+			offer(node1Connection, "j/1/1", "unsafe").accept(node1Connection, "j/1/1"), nil},
 		{"by key, to the same zone in its window", first("keyed").at(1900).offer(node1Connection, "j/1/1", "keyed"), nil},
 		{"by key, after its window", first("keyed").at(2100).offer(node1Connection, "j/1/1", "keyed"),
 			[]int{NoDuplicateStart}},
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -13,7 +13,8 @@
 }
 
 // Listen listens at addr, as host:port, and starts a Server; port 0 means any free port. newHandler returns the handler of
-// each accepted connection; the connection may be used when it has opened, see Opener. The error reports an address that is malformed or can't be listened at.
+// each accepted connection; the connection may be used when it has opened, see Opener. The error reports an address that is
+// malformed or can't be listened at.
 func Listen(addr string, options Options, newHandler func(c *Conn) Handler) (*Server, error) {
 	if _, _, err := net.SplitHostPort(addr); err != nil {
 		return nil, fmt.Errorf("transport: listen address %q: %w", addr, err)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -38,8 +38,8 @@
 type Options struct {
 	MaxReadBuffer int // limit of bytes received and not used by the handler; 2 MiB by default
 	MaxWriteQueue int // limit of bytes queued for the peer; 8 MiB by default
-	// MaxQueuedWrites is the limit of bytes queued for all peers together, above which the connection with most of them is closed;
-	// none by default. It needs one event loop.
+	// MaxQueuedWrites is the limit of bytes queued for all peers together, above which the connection with most of them is
+	// closed; none by default. It needs one event loop.
 	MaxQueuedWrites int
 	IdleTimeout     time.Duration // a connection is closed when it has received nothing for this long; zero means never
 	EventLoops      int           // number of event loops; 1 by default
--- a/internal/transport/writebudget.go
+++ b/internal/transport/writebudget.go
@@ -3,8 +3,8 @@
 // writeBudgetChecks is how many times the queues are added up while as many bytes are queued as the budget allows.
 const writeBudgetChecks = 8
 
-// writeBudget limits the bytes that are queued for the peers of all connections together. Above the limit, it closes the connection
-// with most of them. It is used on the event loop only, so it needs a Dialer with one event loop.
+// writeBudget limits the bytes that are queued for the peers of all connections together. Above the limit, it closes the
+// connection with most of them. It is used on the event loop only, so it needs a Dialer with one event loop.
 type writeBudget struct {
 	limit       int // in bytes; 0: no limit
 	connections map[*Conn]bool
