An offer that waited for the event loop is not written once its time is over

Cause: an offer was written up to half the drain grace after its step, whatever its own time was; the core had counted it as timed out by then, and may have offered the task elsewhere. On the platform and in serve alike. Change: it is discarded after its time, and reported to the core as not sent.

--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -13,7 +13,7 @@
 // once at the end.
 func (r *coreRunner) executeEffects(stepTime scheduler.Time, effects []scheduler.Effect) {
 	for _, effect := range effects {
-		r.executeEffect(effect)
+		r.executeEffect(stepTime, effect)
 	}
 	for _, outbox := range r.unflushedOutboxes {
 		r.flush(outbox, stepTime)
@@ -21,10 +21,10 @@
 	r.unflushedOutboxes = r.unflushedOutboxes[:0]
 }
 
-func (r *coreRunner) executeEffect(effect scheduler.Effect) {
+func (r *coreRunner) executeEffect(stepTime scheduler.Time, effect scheduler.Effect) {
 	switch e := effect.(type) {
 	case scheduler.SendOffer:
-		r.sendOffer(&e)
+		r.sendOffer(stepTime, &e)
 	case scheduler.SendStop:
 		r.sendFrame(e.Node, nodefront.StopFrame(e.Attempt))
 	case scheduler.SendAck:
@@ -54,14 +54,14 @@
 
 // sendOffer puts an offer into the outbox of its node. If the node is not connected, it reports to the core that the offer was
 // not sent.
-func (r *coreRunner) sendOffer(e *scheduler.SendOffer) {
+func (r *coreRunner) sendOffer(stepTime scheduler.Time, e *scheduler.SendOffer) {
 	r.daemon.metrics.offers.Inc()
 	if submittedAt, ok := r.submittedAt[e.Job]; ok {
 		delete(r.submittedAt, e.Job)
 		r.daemon.metrics.submitToOffer.record(time.Since(submittedAt))
 	}
 	if outbox := r.outboxForWrite(e.Node); outbox != nil {
-		r.putOffer(outbox, e)
+		r.putOffer(outbox, stepTime, e)
 		return
 	}
 	r.reportUnsentOffer(e.Node, e.Attempt)
--- a/internal/daemon/nodeoutbox.go
+++ b/internal/daemon/nodeoutbox.go
@@ -65,14 +65,16 @@
 	return encodeFrame(nodefront.HelloFrame(d.settings, d.startedAt))
 }
 
-// putOffer encodes an offer and appends it to the outbox. If the offer is not sent in time, it is reported to the core.
-func (r *coreRunner) putOffer(outbox *nodeOutbox, e *scheduler.SendOffer) {
+// putOffer encodes an offer of the step at stepTime and appends it to the outbox. If the offer is not sent in time, it is
+// reported to the core. It is not written once its validity has ended, since the core may have offered the job elsewhere by
+// then.
+func (r *coreRunner) putOffer(outbox *nodeOutbox, stepTime scheduler.Time, e *scheduler.SendOffer) {
 	nodefront.FillTask(r.daemon.settings, e, &r.offerFrame.task)
 	r.offerFrame.body.Attempt, r.offerFrame.body.ValidForNs = e.Attempt, int64(e.ValidFor)
-	node, attempt := outbox.node, e.Attempt
+	node, attempt, validUntil := outbox.node, e.Attempt, stepTime+e.ValidFor
 	panicOnEncodeError(outbox.frames.PutExpiring(
 		func(dst []byte) ([]byte, error) { return nodeframe.Append(dst, &r.offerFrame.frame) },
-		nil,
+		func() bool { return clock.Now() < validUntil },
 		func() { r.reportUnsentOffer(node, attempt) }))
 }
 
--- a/internal/platform/effects.go
+++ b/internal/platform/effects.go
@@ -33,7 +33,7 @@
 		case requests.SendRelease:
 			s.sendRelease(&effect)
 		case requests.Offer:
-			s.sendOffer(&effect)
+			s.sendOffer(now, &effect)
 		case requests.Dial:
 			s.dial(dialContext, effect)
 		case requests.CloseLink:
@@ -91,8 +91,9 @@
 	return &p.outbox
 }
 
-// sendOffer puts an offer into its node's outbox. If the offer is not written to the connection, the core receives SendFailed.
-func (s *scheduler) sendOffer(e *requests.Offer) {
+// sendOffer puts an offer of the step at now into its node's outbox. If the offer is not written to the connection, the core
+// receives SendFailed. It is not written once its time is over, since the core may have offered the task elsewhere by then.
+func (s *scheduler) sendOffer(now requests.Time, e *requests.Offer) {
 	failed := func() { s.reportSendFailed(e) }
 	node := s.links[e.Link]
 	if node == nil {
@@ -100,7 +101,9 @@
 		return
 	}
 	encode := func(dst []byte) ([]byte, error) { return platformfront.EncodeOffer(dst, e) }
-	if err := s.outboxOf(node).PutExpiring(encode, s.ownerStillWaiting(e), failed); err != nil {
+	ownerStillWaiting, validUntil := s.ownerStillWaiting(e), now+e.TimeLeft
+	wanted := func() bool { return clock.Now() < validUntil && ownerStillWaiting() }
+	if err := s.outboxOf(node).PutExpiring(encode, wanted, failed); err != nil {
 		s.options.Log.Error().Err(err).Str("task", e.Task).Str("node", e.Node).Msg("cannot encode offer, not sending it")
 		failed()
 	}
--- a/internal/platform/offer_race_test.go
+++ b/internal/platform/offer_race_test.go
@@ -110,3 +110,27 @@
 		})
 	}
 }
+
+// Guards against a second copy of a task: an offer that waited for the event loop was written after its time was over, when the core
+// may have offered the task elsewhere. The order of events is that of TestOfferCrossesOwnerRelease, without the owner's release.
+func TestOfferIsNotWrittenAfterItsTime(t *testing.T) {
+	blocker := newEventLoopBlocker("Terminated")
+	other, n := newNode(t, scripted.AcceptAll), newNode(t, scripted.AcceptAll)
+	s := startSchedulerWith(t, schedulerOptions{logHook: blocker.hook},
+		scripted.Entry("s-1", other.Addr(), "leaving"), scripted.Entry("s-2", n.Addr(), "leaving"))
+	c := s.connect()
+	for range 2 {
+		await(t, blocker.linkUps, "a link to be up")
+	}
+	c.send(`{"type":"setup","id":"%016x","fields":{"class":"batch","left":"900","key":"k2","extras":"cores:1;memory:1;service:s2"},`+
+		`"sdp":"owner's"}`, 2) // stays queued, since both nodes are draining
+	c.ping() // ensures that the request has been read
+	blocker.armed.Store(true)
+	other.ResetConnections()
+	await(t, blocker.blocked, "the event loop to block")
+	s.feed.Publish(false, scripted.Entry("s-2", n.Addr(), "active"))
+	await(t, blocker.executed, "the request to fail at its deadline")
+	close(blocker.release)
+	s.connect().placeTask(3)
+	expectMessage(t, n, nodebinary.SetUp, 3)
+}
