Hand-overs of one owner may take all of the shared bytes, and are never a reason to close

Cause: the limit by bytes let one connection have an eighth of what the run loop has not handled, and closed it for any message but a request above that. After a start an owner hands all of its tasks over at once: some 300 set-ups with `at` in one burst would have ended their connection. Found by reading, before it landed.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -10,11 +10,11 @@
 
 // Budget limits the bytes that holders, such as connections, hold together. Half of the limit is divided evenly among as many
 // holders as there can be, so that each holder gets that share whatever the others hold. The other half is shared, first come,
-// first served, and no holder gets more than an eighth of the limit. A Budget is not safe for concurrent use.
+// first served; of that, Reserve gives no holder more than an eighth of the limit. A Budget is not safe for concurrent use.
 type Budget[K comparable] struct {
 	shared       int // bytes beyond the guaranteed shares that all holders may hold together
 	guaranteed   int // bytes that each holder may hold in any case
-	maxHolder    int // bytes that one holder may hold at most
+	maxHolder    int // bytes that one holder may hold at most, as far as Reserve is concerned
 	sharedUsed   int // bytes held beyond the guaranteed shares
 	used         int // bytes held by all holders
 	usedByHolder map[K]int
@@ -33,9 +33,14 @@
 
 // Reserve reserves bytes for a holder. It returns false and reserves nothing if the budget does not allow them.
 func (b *Budget[K]) Reserve(holder K, bytes int) bool {
+	return b.usedByHolder[holder]+bytes <= b.maxHolder && b.ReserveBeyondMaximum(holder, bytes)
+}
+
+// ReserveBeyondMaximum is like Reserve, but one holder may get all of what is shared.
+func (b *Budget[K]) ReserveBeyondMaximum(holder K, bytes int) bool {
 	held := b.usedByHolder[holder]
 	beyond := b.beyondGuarantee(held+bytes) - b.beyondGuarantee(held)
-	if held+bytes > b.maxHolder || beyond > 0 && b.sharedUsed+beyond > b.shared {
+	if beyond > 0 && b.sharedUsed+beyond > b.shared {
 		return false
 	}
 	b.sharedUsed += beyond
--- a/internal/platform/mailbox.go
+++ b/internal/platform/mailbox.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"flaxshelf.example/flaxshelf/internal/bytebudget"
+	"flaxshelf.example/flaxshelf/internal/corelimits"
 	"flaxshelf.example/flaxshelf/internal/requests"
 	"flaxshelf.example/flaxshelf/internal/transport"
 )
@@ -26,10 +27,10 @@
 
 // mailboxLimits are the limits of a mailbox.
 type mailboxLimits struct {
-	messages int // number of messages without reserved bytes from which on the mailbox is full
-	bytes    int // bytes received from owners and not handled yet; as many from nodes, and as many of owners' partial messages
-	owners   int // maximum number of connections from owners
-	links    int // maximum number of links
+	messages int                     // number of messages without reserved bytes from which on the mailbox is full
+	memory   corelimits.MemoryBudget // has the limits of bytes that were received and not handled yet
+	owners   int                     // maximum number of connections from owners
+	links    int                     // maximum number of links
 }
 
 // mailbox queues the messages for the run loop in the order of their arrival. While it is full, it rejects messages from peers.
@@ -56,19 +57,28 @@
 		capacity:     limits.messages,
 		ready:        make(chan struct{}, 1),
 		freed:        make(chan struct{}),
-		ownerBytes:   bytebudget.New[requests.ConnID](limits.bytes, limits.owners),
-		linkBytes:    bytebudget.New[requests.LinkID](limits.bytes, limits.links),
-		partialBytes: bytebudget.New[requests.ConnID](limits.bytes, limits.owners),
+		ownerBytes:   bytebudget.New[requests.ConnID](limits.memory.OwnerMessages, limits.owners),
+		linkBytes:    bytebudget.New[requests.LinkID](limits.memory.NodeMessages, limits.links),
+		partialBytes: bytebudget.New[requests.ConnID](limits.memory.PartialMessages, limits.owners),
 	}
 }
 
-// reserveOwner reserves bytes for what an owner has sent. It returns false if the owner, or all of them, have too much unhandled.
-func (b *mailbox) reserveOwner(owner requests.ConnID, bytes int) bool {
+// reserveRequest reserves bytes for a request of an owner. It returns false if the owner, or all of them, have too much
+// unhandled.
+func (b *mailbox) reserveRequest(owner requests.ConnID, bytes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.ownerBytes.Reserve(owner, bytes)
 }
 
+// reserveOther reserves bytes for another message of an owner, of which one connection may have many at once: after a start, an
+// owner hands all of its running tasks over. It returns false if all owners together have too much unhandled.
+func (b *mailbox) reserveOther(owner requests.ConnID, bytes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ownerBytes.ReserveBeyondMaximum(owner, bytes)
+}
+
 // resizePartial changes the bytes that are reserved for an owner's partial message. It returns false, and changes nothing, if the
 // owner, or all of them, have too many.
 func (b *mailbox) resizePartial(owner requests.ConnID, from, to int) bool {
--- a/internal/platform/memory_test.go
+++ b/internal/platform/memory_test.go
@@ -72,3 +72,33 @@
 	}
 	usual.expectReply("answer", 3, 0)
 }
+
+// An owner hands hundreds of running tasks over at once after a start. All are adopted although the run loop is blocked meanwhile:
+// they need more than one connection's share of requests.
+func TestHandOverAtOnceIsAdopted(t *testing.T) {
+	const tasks, firstTask = 1000, 100
+	var armed atomic.Bool
+	blocked, release := make(chan struct{}), make(chan struct{})
+	s := startSchedulerWith(t, schedulerOptions{logHook: func(line string) {
+		if strings.Contains(line, `"in":"Ping"`) && armed.CompareAndSwap(true, false) {
+			blocked <- struct{}{}
+			<-release
+		}
+	}}, scripted.Entry("s-1", newNode(t, scripted.AcceptAll).Addr(), "active"))
+	owner := s.connect()
+	owner.ping()
+	armed.Store(true)
+	pinged := make(chan bool, 1)
+	go func() { pinged <- s.connect().ping() }()
+	await(t, blocked, "the run loop to block")
+	for i := range tasks {
+		owner.submit(firstTask+i, "at:s-1")
+	}
+	owner.send(`{"type":"setup","id":"%016x","fields":{"class":"odd"},"sdp":"x"}`, 1)
+	owner.expectReply("release", 1, int(requests.CauseError)) // the event loop has read all
+	close(release)
+	await(t, pinged, "the health check that blocked the run loop")
+	if !owner.ping() {
+		t.Error("got another message before the answer of the health check, want all tasks adopted")
+	}
+}
--- a/internal/platform/owner_handler.go
+++ b/internal/platform/owner_handler.go
@@ -96,11 +96,10 @@
 		if input == nil {
 			continue
 		}
-		if !h.scheduler.mailbox.reserveOwner(h.id, size+inputOverhead) {
-			if _, isRequest := input.(requests.Submit); !isRequest {
+		if !h.reserve(input, size+inputOverhead) {
+			if !h.rejectOnReceipt(c, input) {
 				return decoded, used, errMailboxFull
 			}
-			h.rejectOnReceipt(c, m.ID)
 			continue
 		}
 		switch input := input.(type) {
@@ -114,10 +113,27 @@
 	}
 }
 
-// rejectOnReceipt rejects a request for which no bytes can be reserved. A retry is safe, since no offer was made.
-func (h *ownerHandler) rejectOnReceipt(c *transport.Conn, task string) {
+// reserve reserves bytes for an input in the mailbox.
+func (h *ownerHandler) reserve(input requests.Input, bytes int) bool {
+	if _, isRequest := input.(requests.Submit); isRequest {
+		return h.scheduler.mailbox.reserveRequest(h.id, bytes)
+	}
+	return h.scheduler.mailbox.reserveOther(h.id, bytes)
+}
+
+// rejectOnReceipt responds to an input for which no bytes can be reserved. A request is rejected, and a retry is safe, since no
+// offer was made. A task that cannot be adopted is reported as lost, as by the core. It returns false for any other input.
+func (h *ownerHandler) rejectOnReceipt(c *transport.Conn, input requests.Input) bool {
+	switch input := input.(type) {
+	case requests.Submit:
+		h.respondTerminated(c, input.Task.ID, requests.CauseRejected)
+	case requests.Adopt:
+		h.respondTerminated(c, input.Task.ID, requests.CauseLost)
+	default:
+		return false
+	}
 	h.scheduler.rejectedOnReceipt.Add(1)
-	h.respondTerminated(c, task, requests.CauseRejected)
+	return true
 }
 
 // respondTerminated sends the final response to a request that does not reach the run loop.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -116,7 +116,7 @@
 		options: options,
 		mailbox: newMailbox(mailboxLimits{
 			messages: mailboxCapacity,
-			bytes:    corelimits.DivideMemory(config.Limits.MemoryMB).ReceivedMessages,
+			memory:   corelimits.DivideMemory(config.Limits.MemoryMB),
 			owners:   descriptors.OwnerConnections,
 			links:    descriptors.NodeLinks,
 		}),
