A link is renewed once its node goes on after links to it were replaced in silence

Cause: the node sent the end on a connection that the scheduler had closed while the node hung, and the node would have sent it again on the next connection; none was opened. Change: after the node's first message its link is renewed within 1 s. Measured, arm64: TestLinkIsRenewedAfterSilence fails before, passes now.

--- a/internal/requests/link.go
+++ b/internal/requests/link.go
@@ -27,6 +27,9 @@
 	linkRetirementDelay = 2 * time.Second
 	// finishTimeout is how long the node's last messages on a replaced link are awaited after its writing side was closed.
 	finishTimeout = time.Second
+	// silenceRenewalDelay is how long after a node's first message the link is renewed; see renewAfterSilence. By then the node has
+	// noticed which of its links are closed.
+	silenceRenewalDelay = time.Second
 )
 
 // ensureLink dials a node that needs a link. It does nothing if the node has an unsuspected link, established or being dialed,
@@ -194,6 +197,18 @@
 	return current.receivedAny || !l.receivedAny || len(l.node.attempts) == 0
 }
 
+// renewAfterSilence replaces the link of a node that has sent a message after links on which it had sent nothing were replaced. Its
+// process may have hung: once it goes on, it still counts these links as open, and may have sent the ends of tasks on them. It
+// sends them again on the next link that is established.
+func (c *Core) renewAfterSilence(n *node) {
+	n.silentReplaced = false
+	c.timers.Schedule(c.now+silenceRenewalDelay, func() {
+		if l := n.currentLink; l != nil && l.up && len(n.attempts) > 0 {
+			c.suspectLink(l)
+		}
+	})
+}
+
 // finishLink closes the writing side of a replaced link, and the whole link when the node has closed its side or after
 // finishTimeout. If the link were closed at once, a report of the node that crosses the close would be lost: the node sends it on
 // the link of its task, and again only on a link that is established later.
@@ -202,6 +217,9 @@
 		return
 	}
 	l.finishing = true
+	if !l.receivedAny && len(l.node.attempts) > 0 {
+		l.node.silentReplaced = true
+	}
 	c.emit(FinishLink{l.id})
 	c.timers.Schedule(c.now+finishTimeout, func() {
 		if c.links[l.id] == l {
--- a/internal/requests/link_test.go
+++ b/internal/requests/link_test.go
@@ -253,3 +253,26 @@
 		t.Errorf("got links %v finished after a message on the newest one, want %d among them", got, former)
 	}
 }
+
+// Guards against ends that owners never learn of: a node that had hung sent them on links that were closed, which it did not know
+// yet. It sends them again on the next link, which is opened once the node goes on.
+func TestLinkIsRenewedAfterSilence(t *testing.T) {
+	h := newHarness(t)
+	h.connect(1)
+	h.addNodes("n")
+	former := h.placeTask(1, 1).Link
+	newest := former
+	for end := h.now + 10*time.Second; h.now < end; {
+		h.advance(10 * time.Millisecond)
+		for _, dial := range effectsOf[Dial](h) {
+			newest = dial.Link
+			h.step(LinkUp{dial.Link})
+		}
+	}
+	usage := NodeMessage{Link: newest, Kind: NodeUsage, Task: taskID(1), Amount: 1}
+	h.step(usage)
+	h.advance(silenceRenewalDelay)
+	renewed := oneEffect[Dial](h).Link
+	h.step(LinkUp{renewed}, nodeReleased(renewed, 1, CauseNormal))
+	expectEffect(h, Terminated{Conn: 1, Task: taskID(1), Cause: CauseNormal})
+}
--- a/internal/requests/nodemessage.go
+++ b/internal/requests/nodemessage.go
@@ -22,6 +22,9 @@
 	l.lastReceivedAt = c.now
 	l.lastUsedAt = c.now
 	l.node.lastReceivedAt = c.now
+	if l.node.silentReplaced {
+		c.renewAfterSilence(l.node)
+	}
 	a := c.findAttempt(in.Link, in.Task)
 	if a == nil {
 		c.handleUnmatchedMessage(l, in)
