Offers that wait for a connection end when the list shows the node's restart

What callers saw: on mass-restart with a paused recorder, ten of twelve nodes crashed of 25 offers within 0.3 s of their restart; 24 are the limit for the fleet. Cause: waiting offers were dropped only if the node's own welcome told of the restart first. With the list first they were all sent, outside the slow-start budget.

--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -68,7 +68,11 @@
 			machine.Started = node.coldStartedAt
 			in.Machines[i] = machine
 		}
+		restarted := machine.Started > node.machine.Started
 		node.machine = machine
+		if restarted { // the module chose the node by its capacity before the restart
+			c.cancelUnsentOffers(node)
+		}
 		c.applyMachineChange(node)
 	}
 	if in.Complete {
@@ -92,11 +96,7 @@
 // for a connection are canceled: they must not be sent after the drain was announced.
 func (c *Core) applyMachineChange(node *node) {
 	if node.machine.State != flaxshelf.Active {
-		for _, attempt := range node.sortedAttempts() {
-			if attempt.phase == phaseConnecting {
-				c.endAttempt(attempt, attemptEnd{outcome: flaxshelf.NotSent})
-			}
-		}
+		c.cancelUnsentOffers(node)
 	}
 	switch {
 	case !node.removed() && !node.connectRequested:
@@ -107,6 +107,15 @@
 	}
 }
 
+// cancelUnsentOffers ends the offers that wait for a connection to the node.
+func (c *Core) cancelUnsentOffers(node *node) {
+	for _, attempt := range node.sortedAttempts() {
+		if attempt.phase == phaseConnecting {
+			c.endAttempt(attempt, attemptEnd{outcome: flaxshelf.NotSent})
+		}
+	}
+}
+
 // scheduleNodeExpiry expires the node after the settle time if, at that time, it is removed and not connected.
 func (c *Core) scheduleNodeExpiry(node *node) {
 	c.timers.Schedule(c.now+c.cfg.Limits.SettleTime, func() {
