--- a/internal/testbed/recordproxy/connection.go
+++ b/internal/testbed/recordproxy/connection.go
@@ -1,8 +1,14 @@
 package recordproxy
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
+
+	"flaxshelf.example/flaxshelf/internal/clock"
 )
 
 const (
@@ -24,10 +30,11 @@
 }
 
 // close records the end of the connection and then closes both TCP connections. In this order the recording has the end before
-// anything that the parties send in reaction to it. Calls after the first have no effect.
-func (c *connection) close(reason string) {
+// anything that the parties send in reaction to it. endDelay is how long the proxy had not noticed that the dialing party
+// closed its connection. Calls after the first have no effect.
+func (c *connection) close(reason string, endDelay time.Duration) {
 	c.closeOnce.Do(func() {
-		c.proxy.recorder.recordClose(c.id, reason)
+		c.proxy.recorder.recordClose(c.id, reason, endDelay)
 		close(c.done)
 		_ = c.dialerConn.Close()
 		_ = c.listenerConn.Close()
@@ -45,25 +52,35 @@
 // forward copies bytes from source to destination until the connection ends. It records bytes as sent when it receives them,
 // even while a fault delays earlier bytes; forwardQueued records them as delivered.
 func (c *connection) forward(source, destination net.Conn, fromListener bool) {
+	reader, err := newSocketReader(source, c.proxy.stalls)
+	if err != nil {
+		c.close(err.Error(), 0)
+		return
+	}
 	queue := make(chan []byte, queueLength)
+	var endDelay atomic.Int64 // in nanoseconds
 	var writer sync.WaitGroup
-	writer.Go(func() { c.close(c.forwardQueued(destination, fromListener, queue)) })
+	writer.Go(func() {
+		reason := c.forwardQueued(destination, fromListener, queue)
+		c.close(reason, time.Duration(endDelay.Load()))
+	})
 	defer writer.Wait()
 	defer close(queue)
 	buffer := make([]byte, maxReadSize)
 	for {
-		size, err := source.Read(buffer)
-		if size > 0 {
-			c.proxy.recorder.recordSent(c.id, fromListener, buffer[:size])
-			select {
-			case queue <- append([]byte(nil), buffer[:size]...):
-			case <-c.done:
-				return
-			}
+		size, received, err := reader.read(buffer)
+		if errors.Is(err, io.EOF) && !fromListener { // the dialer learns of the listener's end only when the proxy closes
+			endDelay.Store(int64(clock.Now() - received.earliest))
 		}
 		if err != nil {
 			return
 		}
+		c.proxy.recorder.recordSent(c.id, fromListener, buffer[:size], received)
+		select {
+		case queue <- append([]byte(nil), buffer[:size]...):
+		case <-c.done:
+			return
+		}
 	}
 }
 
--- a/internal/testbed/recordproxy/proxy.go
+++ b/internal/testbed/recordproxy/proxy.go
@@ -1,6 +1,7 @@
 package recordproxy
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -15,6 +16,7 @@
 // time. It is safe for concurrent use.
 type Proxy struct {
 	recorder                 *Recorder
+	stalls                   *stallMonitor
 	protocol                 string
 	listenerName, dialerName string // names of the listening party and, if the proxy serves only one, of the dialing party
 	listener                 net.Listener
@@ -34,12 +36,14 @@
 // parties as given; dialerName is empty if several parties dial this proxy. targetAddress returns the address of the listening
 // party and is called for each connection.
 func NewProxy(recorder *Recorder, protocol, listenerName, dialerName string, targetAddress func() string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{Control: enableTimestamps}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("recordproxy: listen for connections to %s: %w", listenerName, err)
 	}
-	p := &Proxy{recorder: recorder, protocol: protocol, listenerName: listenerName, dialerName: dialerName, listener: listener,
-		targetAddress: targetAddress, faultChanged: make(chan struct{}), connections: map[*connection]bool{}}
+	p := &Proxy{recorder: recorder, stalls: recorder.monitorStalls(), protocol: protocol, listenerName: listenerName,
+		dialerName: dialerName, listener: listener, targetAddress: targetAddress, faultChanged: make(chan struct{}),
+		connections: map[*connection]bool{}}
 	p.goroutines.Go(p.accept)
 	return p, nil
 }
@@ -64,7 +68,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.connections {
-		c.close(reasonDisconnectedByFault)
+		c.close(reasonDisconnectedByFault, 0)
 	}
 }
 
@@ -73,7 +77,7 @@
 	p.mu.Lock()
 	p.closed = true
 	for c := range p.connections {
-		c.close(reasonProxyClosed)
+		c.close(reasonProxyClosed, 0)
 	}
 	p.mu.Unlock()
 	_ = p.listener.Close()
@@ -104,7 +108,8 @@
 // serve connects an accepted connection to the listening party and forwards both directions until it is closed. If the party
 // cannot be reached, nothing is recorded and the connection is closed.
 func (p *Proxy) serve(dialerConn net.Conn) {
-	listenerConn, err := net.DialTimeout("tcp", p.targetAddress(), dialTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout, Control: enableTimestamps}
+	listenerConn, err := dialer.Dial("tcp", p.targetAddress())
 	if err != nil {
 		_ = dialerConn.Close()
 		return
@@ -116,7 +121,7 @@
 	closed := p.closed
 	p.mu.Unlock()
 	if closed {
-		c.close(reasonProxyClosed)
+		c.close(reasonProxyClosed, 0)
 	}
 	c.run()
 	p.mu.Lock()
--- a/internal/testbed/recordproxy/recorder.go
+++ b/internal/testbed/recordproxy/recorder.go
@@ -10,6 +10,7 @@
 	"io"
 	"os"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
@@ -31,7 +32,8 @@
 type Recorder struct {
 	mu               sync.Mutex
 	buffer           *bufio.Writer
-	closer           io.Closer // nil if the writer needs no closing
+	closer           io.Closer     // nil if the writer needs no closing
+	stalls           *stallMonitor // nil until monitorStalls
 	lastTime         int64
 	lastConnectionID uint64
 	firstErr         error // of a write
@@ -57,12 +59,26 @@
 	return NewRecorder(file, checkLimits), nil
 }
 
+// monitorStalls starts to monitor the stalls of the process, until Close. Calls after the first have no effect.
+func (r *Recorder) monitorStalls() *stallMonitor {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stalls == nil {
+		r.stalls = startStallMonitor()
+	}
+	return r.stalls
+}
+
 // write writes a record with the current time. The first error is kept for Close, and no record is written after it.
-func (r *Recorder) write(record *recordingpb.Record) {
+func (r *Recorder) write(record *recordingpb.Record) { r.writeWith(record, func(int64) {}) }
+
+// writeWith is write; it calls complete with the time of the record before it encodes the record.
+func (r *Recorder) writeWith(record *recordingpb.Record, complete func(timeNs int64)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastTime = max(r.lastTime, int64(clock.Now()))
 	record.TimeNs = r.lastTime
+	complete(record.TimeNs)
 	if r.firstErr == nil {
 		_, r.firstErr = protodelim.MarshalTo(r.buffer, record)
 	}
@@ -84,9 +100,13 @@
 	return id
 }
 
-func (r *Recorder) recordSent(connection uint64, fromListener bool, data []byte) {
-	sent := &recordingpb.Sent{Conn: connection, Back: fromListener, Data: data}
-	r.write(&recordingpb.Record{Body: &recordingpb.Record_Sent{Sent: sent}})
+// recordSent records bytes of a party, which were received in the given interval and may be recorded later.
+func (r *Recorder) recordSent(connection uint64, fromListener bool, data []byte, received interval) {
+	sent := &recordingpb.Sent{Conn: connection, Back: fromListener, Data: data,
+		SpreadNs: int64(received.latest - received.earliest)}
+	r.writeWith(&recordingpb.Record{Body: &recordingpb.Record_Sent{Sent: sent}}, func(timeNs int64) {
+		sent.ReadDelayNs = max(timeNs-int64(received.latest), 0)
+	})
 }
 
 func (r *Recorder) recordDelivered(connection uint64, fromListener bool, forwarded, dropped int) {
@@ -94,12 +114,18 @@
 	r.write(&recordingpb.Record{Body: &recordingpb.Record_Delivered{Delivered: delivered}})
 }
 
-func (r *Recorder) recordClose(connection uint64, reason string) {
-	r.write(&recordingpb.Record{Body: &recordingpb.Record_Close{Close: newClose(connection, reason)}})
+// recordClose records the end of a connection. endDelay is how long the proxy had not noticed that the dialing party closed it.
+func (r *Recorder) recordClose(connection uint64, reason string, endDelay time.Duration) {
+	closed := newClose(connection, reason)
+	closed.ReadDelayNs = int64(endDelay)
+	r.write(&recordingpb.Record{Body: &recordingpb.Record_Close{Close: closed}})
 }
 
 // Close flushes the recording and closes its writer. It returns the first error of a write, joined with those of Close itself.
 func (r *Recorder) Close() error {
+	if r.stalls != nil {
+		r.stalls.close()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	err := errors.Join(r.firstErr, r.buffer.Flush())
--- a/internal/testbed/rules/acceptance.go
+++ b/internal/testbed/rules/acceptance.go
@@ -31,10 +31,11 @@
 
 // checkOverlap adds a violation for two attempts that run at the same time. The nodes of a key's domain give the key up before
 // they report the end of its task, and the recorder reads the connections of two nodes in any order. So if the earlier attempt
-// was stopped, and a node of its key's domain accepts the later one, the end of the earlier one is awaited first.
+// was stopped or its connection was lost, and a node of its key's domain accepts the later one, the end of the earlier one is
+// awaited first.
 func (c *checker) checkOverlap(class *Class, o overlap) {
 	view, earlierView := c.view(o.later.scheduler, o.later.node), c.view(o.later.scheduler, o.earlier.node)
-	if o.earlier.stopped && class.Idempotency == IdempotentByKey &&
+	if (o.earlier.stopped || c.isConnectionLost(o.earlier)) && class.Idempotency == IdempotentByKey &&
 		sameDomain(class.KeyDomain, view, earlierView, o.later.node, o.earlier.node) {
 		c.overlaps = append(c.overlaps, o)
 		return
@@ -42,8 +43,15 @@
 	c.addOverlapViolation(o)
 }
 
-// nodeEnded processes the end of an attempt when its node reports it. It settles the overlaps that wait for it.
-func (c *checker) nodeEnded(id string) {
+// isConnectionLost reports whether the connection that an attempt was offered on has ended.
+func (c *checker) isConnectionLost(a *attempt) bool {
+	link := c.connections[a.connection]
+	return link == nil || link.closed
+}
+
+// nodeEnded processes the end of an attempt when its node reports it. It settles the overlaps that wait for it. While the
+// scheduler of the attempt was not connected, the node could not report the end in time.
+func (c *checker) nodeEnded(id string, whileDisconnected bool) {
 	a := c.attempts[id]
 	if a == nil {
 		return
@@ -54,7 +62,7 @@
 		switch {
 		case o.earlier != a:
 			waiting = append(waiting, o)
-		case c.now-o.recordedAt > c.limits.TimeTolerance:
+		case !whileDisconnected && c.earliest-o.recordedAt > c.limits.TimeTolerance:
 			c.addOverlapViolation(o)
 		}
 	}
--- a/internal/testbed/rules/attempt.go
+++ b/internal/testbed/rules/attempt.go
@@ -34,6 +34,8 @@
 	placementRequest    int32         // its number within the job
 	connection          uint64        // the connection that the offer was sent on
 	sentAt, validFor    time.Duration // of the offer
+	sentAfter           time.Duration // the offer was sent between this time and sentAt
+	readDelay           time.Duration // how late the recorder has read the offer, before it could deliver it
 	phase               phase
 	phaseSince          time.Duration
 	stopped             bool // the scheduler requested that the node stop the task
@@ -77,13 +79,16 @@
 	return slices.SortedFunc(maps.Keys(c.activeAttempts[scheduler]), byID)
 }
 
-// expire sets the phase of an attempt to outcomeUnknown if its offer has expired without a reply.
+// expire sets the phase of an attempt to outcomeUnknown if its offer may have expired without a reply.
 func (c *checker) expire(a *attempt) {
-	if a.phase == inFlight && c.now >= a.sentAt+a.validFor-c.limits.TimeTolerance {
+	if a.phase == inFlight && c.now >= a.expiresAfter()-c.limits.TimeTolerance {
 		c.transition(a.id, outcomeUnknown)
 	}
 }
 
+// expiresAfter returns the earliest time at which the offer of an attempt may expire.
+func (a *attempt) expiresAfter() time.Duration { return a.sentAfter + a.validFor }
+
 // connectionLost sets the phase of the attempts in flight on a closed connection to outcomeUnknown, since the node may have
 // accepted them.
 func (c *checker) connectionLost(link *connection) {
--- a/internal/testbed/rules/check.go
+++ b/internal/testbed/rules/check.go
@@ -71,11 +71,12 @@
 	return reader, nil
 }
 
-// forEachRecord calls handle for each record until the end of the recording. The error is a *RecordingError or the first
-// error of handle.
+// forEachRecord calls handle for each record until the end of the recording, in the order of orderedReader. The error is a
+// *RecordingError or the first error of handle.
 func forEachRecord(reader *recordproxy.Reader, handle func(record *recordingpb.Record) error) error {
+	ordered := newOrderedReader(reader)
 	for {
-		record, err := reader.Next()
+		record, err := ordered.next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -88,12 +89,18 @@
 	}
 }
 
-// recordTimes are the times of the first and the current record, since the Unix epoch.
-type recordTimes struct{ start, now time.Duration }
+// recordTimes are the times of the first and the current record, since the Unix epoch. The current record is of bytes that may
+// have been sent between earliest and now, or of an event at now.
+type recordTimes struct {
+	start, earliest, now time.Duration
+	readDelay            time.Duration // how late the recorder has read the bytes
+}
 
 // advance makes record the current record.
 func (t *recordTimes) advance(record *recordingpb.Record) {
 	t.now = time.Duration(record.TimeNs)
+	t.earliest = t.now - min(time.Duration(record.GetSent().GetSpreadNs()), maxReadDelay)
+	t.readDelay = min(time.Duration(record.GetSent().GetReadDelayNs()), maxReadDelay)
 	if t.start == 0 {
 		t.start = t.now
 	}
@@ -123,6 +130,7 @@
 	acceptedByKey  map[string]map[string]*attempt // by key and ID of the attempt: accepted by a node, not ended
 	overlaps       []overlap                      // that wait for the end of their earlier attempt
 	slowStarts     map[string]*slowStart          // by node
+	stoppedAt      map[string]time.Duration       // by node: when its latest stopped incarnation was stopped
 }
 
 func newChecker(limits Limits) *checker {
@@ -138,6 +146,7 @@
 		activeAttempts: map[string]map[*attempt]bool{},
 		acceptedByKey:  map[string]map[string]*attempt{},
 		slowStarts:     map[string]*slowStart{},
+		stoppedAt:      map[string]time.Duration{},
 		verdict: Verdict{
 			Rejected: map[string]int{},
 			Outcomes: map[string]int{},
--- a/internal/testbed/rules/connection.go
+++ b/internal/testbed/rules/connection.go
@@ -27,6 +27,7 @@
 	openedAt   time.Duration
 	directions [2]stream
 	undecoded  bool // a message could not be decoded; later bytes are ignored
+	closed     bool // nothing more is delivered to the dialer
 
 	requests           []*clientRequest // oldest first, without a complete response
 	parser             httpcodec.Parser
@@ -45,10 +46,10 @@
 
 // clientRequest is an HTTP request of a client to a scheduler.
 type clientRequest struct {
-	sentAt time.Duration
-	method string
-	path   string
-	body   []byte
+	deliveredAt time.Duration
+	method      string
+	path        string
+	body        []byte
 }
 
 // direction returns the index of a direction in connection.directions.
@@ -64,13 +65,16 @@
 		openedAt: c.now, reportedAttempts: map[string]bool{}}
 }
 
+// connectionClosed processes the end of a connection. One to a node is kept: the node may send until it notices the end.
 func (c *checker) connectionClosed(closed *recordingpb.Close) {
 	link := c.connections[closed.Conn]
 	if link == nil {
 		return
 	}
+	link.closed = true
 	if link.protocol == NodeProtocol {
 		c.connectionLost(link)
+		return
 	}
 	delete(c.connections, closed.Conn)
 }
@@ -98,8 +102,6 @@
 		s.sentRemainder = c.decodeFrames(link, s.sentRemainder, func(frame *nodepb.Frame) { c.frameSent(link, sent.Back, frame) })
 	case sent.Back:
 		c.parseResponses(link, sent.Data)
-	default:
-		c.parseRequests(link, sent.Data)
 	}
 }
 
@@ -117,10 +119,13 @@
 		c.markUndecoded(link, errExcessDelivery)
 		return
 	}
-	if link.protocol != ClientProtocol {
+	switch {
+	case link.protocol != ClientProtocol:
 		s.deliveredRemainder = append(s.deliveredRemainder, s.undelivered[:kept]...)
 		s.deliveredRemainder = c.decodeFrames(link, s.deliveredRemainder,
 			func(frame *nodepb.Frame) { c.frameDelivered(link, delivered.Back, frame) })
+	case !delivered.Back:
+		c.parseRequests(link, s.undelivered[:kept])
 	}
 	s.undelivered = append(s.undelivered[:0], s.undelivered[removed:]...)
 }
@@ -155,16 +160,18 @@
 // frameSent processes a frame when a party sends it.
 func (c *checker) frameSent(link *connection, fromListener bool, frame *nodepb.Frame) {
 	switch {
+	case !fromListener && link.closed: // it is not delivered
 	case !fromListener:
 		c.schedulerFrameSent(link, frame)
 	case link.protocol == NodeProtocol:
-		c.nodeFrameSent(frame)
+		c.nodeFrameSent(link, frame)
 	}
 }
 
 // frameDelivered processes a frame when it is delivered to a party.
 func (c *checker) frameDelivered(link *connection, fromListener bool, frame *nodepb.Frame) {
 	switch {
+	case fromListener && link.closed: // the dialer has closed the connection and reads nothing more
 	case fromListener && link.protocol == NodeProtocol:
 		c.nodeFrameDelivered(link, frame)
 	case fromListener && link.protocol == InventoryProtocol:
@@ -172,18 +179,18 @@
 			c.listingDelivered(link.dialer, listing)
 		}
 	case link.protocol == NodeProtocol:
-		if frame.GetOffer() != nil {
-			c.offerDelivered(link)
+		if offer := frame.GetOffer(); offer != nil {
+			c.offerDelivered(link, offer.Attempt)
 		}
 	}
 }
 
-// parseRequests parses the bytes that a client sends.
+// parseRequests parses the bytes of a client that are delivered to a scheduler, whose time for the request begins with it.
 func (c *checker) parseRequests(link *connection, data []byte) {
 	s := &link.directions[direction(false)]
-	s.sentRemainder = append(s.sentRemainder, data...)
+	s.deliveredRemainder = append(s.deliveredRemainder, data...)
 	for {
-		request, used, _, err := link.parser.Parse(s.sentRemainder)
+		request, used, _, err := link.parser.Parse(s.deliveredRemainder)
 		if err != nil { // expected: misbehaving clients send malformed requests
 			link.undecoded = true
 			return
@@ -191,9 +198,9 @@
 		if request == nil {
 			return
 		}
-		link.requests = append(link.requests, &clientRequest{sentAt: c.now, method: request.Method,
+		link.requests = append(link.requests, &clientRequest{deliveredAt: c.now, method: request.Method,
 			path: request.Path, body: append([]byte(nil), request.Body...)})
-		s.sentRemainder = append(s.sentRemainder[:0], s.sentRemainder[used:]...)
+		s.deliveredRemainder = append(s.deliveredRemainder[:0], s.deliveredRemainder[used:]...)
 	}
 }
 
--- a/internal/testbed/rules/job.go
+++ b/internal/testbed/rules/job.go
@@ -77,7 +77,7 @@
 	if c.jobs[id] != nil {
 		return
 	}
-	j := c.addJob(id, scheduler, request.sentAt)
+	j := c.addJob(id, scheduler, request.deliveredAt)
 	var submission drmaa2.Submission
 	if json.Unmarshal(request.body, &submission) != nil {
 		return
@@ -149,9 +149,9 @@
 		c.verdict.Outcomes[countformat.OutcomeTerm(outcome)]++
 		hasDeadline := j.outcomeExpected && number <= firstPlacementRequest && j.placementTimeout > 0
 		timeout := request.requestedAt + j.placementTimeout
-		if hasDeadline && c.now > c.outcomeDeadline(scheduler, timeout) {
+		if hasDeadline && c.earliest > c.outcomeDeadline(scheduler, timeout) {
 			c.addViolation(OneOutcome, "job %s: outcome %s was reported %v after the placement timeout", j.id,
-				countformat.OutcomeTerm(outcome), (c.now - timeout).Round(time.Millisecond))
+				countformat.OutcomeTerm(outcome), (c.earliest - timeout).Round(time.Millisecond))
 		}
 	}
 	request.outcome = outcome
--- a/internal/testbed/rules/mark.go
+++ b/internal/testbed/rules/mark.go
@@ -33,6 +33,7 @@
 
 // nodeStopped removes the accepted attempts of a node that has stopped.
 func (c *checker) nodeStopped(node string) {
+	c.stoppedAt[node] = c.now
 	for key, accepted := range c.acceptedByKey {
 		for id, attempt := range accepted {
 			if attempt.node == node {
--- a/internal/testbed/rules/nodeview.go
+++ b/internal/testbed/rules/nodeview.go
@@ -54,9 +54,9 @@
 	for node, view := range c.views[scheduler] {
 		if !listed[node] && view.membership != nodepb.Standing_OUT {
 			view.setMembership(nodepb.Standing_OUT, c.now)
-			c.nodeRemoved(scheduler, node)
 		}
 	}
+	c.attemptsLost(scheduler, func(node string) bool { return !listed[node] })
 }
 
 func (c *checker) entryDelivered(scheduler string, entry *nodepb.Entry) {
@@ -73,8 +73,13 @@
 
 // nodeRemoved marks the accepted attempts on a node as lost, since the scheduler has been told that they no longer run.
 func (c *checker) nodeRemoved(scheduler, node string) {
-	for _, attempt := range c.sortedActive(scheduler) {
-		if attempt.node == node && attempt.phase == accepted {
+	c.attemptsLost(scheduler, func(other string) bool { return other == node })
+}
+
+// attemptsLost marks the accepted attempts of all incarnations of a scheduler on the removed nodes as lost.
+func (c *checker) attemptsLost(scheduler string, isRemoved func(node string) bool) {
+	for _, attempt := range c.attempts {
+		if attempt.scheduler == scheduler && attempt.phase == accepted && isRemoved(attempt.node) {
 			c.transition(attempt.id, lost)
 		}
 	}
--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -16,6 +16,7 @@
 func TestCheckFindsTheViolatedRules(t *testing.T) {
 	t.Run("outcome", func(t *testing.T) { checkRules(t, outcomeCases()) })
 	t.Run("duplicate start", func(t *testing.T) { checkRules(t, duplicateStartCases()) })
+	t.Run("duplicate start in a late recording", func(t *testing.T) { checkRules(t, lateRecordingCases()) })
 	t.Run("drain", func(t *testing.T) { checkRules(t, drainCases()) })
 	t.Run("slow start", func(t *testing.T) { checkRules(t, slowStartCases()) })
 	t.Run("spread", func(t *testing.T) { checkRules(t, spreadCases()) })
@@ -35,6 +36,12 @@
 		{"late after the process was resumed", newRecording().submit().respond(1, drmaa2.Queued, "").at(500).
 			mark(recordproxy.EventSchedulerPaused, "s").at(3000).mark(recordproxy.EventSchedulerResumed, "s").at(3200).poll().
 			respond(2, drmaa2.Failed, "refused"), []int{OneOutcome}},
+		{"reported in time and read late", newRecording().submit().respond(1, drmaa2.Queued, "").poll().at(1200).readLate(150, 0).
+			respond(2, drmaa2.Queued, "placed"), nil},
+		{"reported late and read late", newRecording().submit().respond(1, drmaa2.Queued, "").poll().at(1300).readLate(150, 0).
+			respond(2, drmaa2.Queued, "placed"), []int{OneOutcome}},
+		{"read with later bytes", newRecording().submit().respond(1, drmaa2.Queued, "").poll().at(1200).readLate(0, 150).
+			respond(2, drmaa2.Queued, "placed"), nil},
 		{"none", newRecording().submit().respond(1, drmaa2.Queued, "").at(2000).mark(recordproxy.EventEnd, ""), []int{OneOutcome}},
 		{"none, but killed", newRecording().submit().respond(1, drmaa2.Queued, "").at(500).
 			mark(recordproxy.EventSchedulerKilled, "s").at(2000).mark(recordproxy.EventEnd, ""), nil},
@@ -90,6 +97,37 @@
 	}
 }
 
+// lateRecordingCases are recordings in which the order of the records is not the one in which the parties sent the bytes, or in
+// which a node could not report in time.
+func lateRecordingCases() []ruleCase {
+	first := func(class string) *recordingBuilder { return newRecording().offer(node1Connection, "j/1/0", class) }
+	return []ruleCase{
+		{"in flight, read late", first("safe").at(600).readLate(500, 0).offer(node2Connection, "j/1/1", "safe"),
+			[]int{NoDuplicateStart}},
+		{"after the timeout, but read first", newRecording().at(510).offer(node2Connection, "j/1/1", "safe").at(520).
+			readLate(520, 0).offer(node1Connection, "j/1/0", "safe"), nil},
+		{"after the timeout, but sent some time before its last bytes", newRecording().at(510).
+			offer(node2Connection, "j/1/1", "safe").at(520).readLate(10, 510).offer(node1Connection, "j/1/0", "safe"), nil},
+		{"in flight, sent shortly before its last bytes", newRecording().at(510).offer(node2Connection, "j/1/1", "safe").at(520).
+			readLate(10, 10).offer(node1Connection, "j/1/0", "safe"), []int{NoDuplicateStart}},
+		{"after an end that the node reports when it is connected again", first("unsafe").accept(node1Connection, "j/1/0").
+			at(600).reconnect(secondNode1Connection, "j/1/0").offer(node2Connection, "j/1/1", "unsafe").
+			accept(node2Connection, "j/1/1"), nil},
+		{"after a node stopped with its last acceptance", first("unsafe").mark(recordproxy.EventNodeStopped, "n1").
+			accept(node1Connection, "j/1/0").close(node1Connection).listing(true, "n2").at(2600).
+			offer(node2Connection, "j/1/1", "unsafe").accept(node2Connection, "j/1/1"), nil},
+		{"after its node was removed while its scheduler did not run", first("safe").accept(node1Connection, "j/1/0").
+			mark(recordproxy.EventSchedulerKilled, "s").at(600).listing(true, "n2").offer(node2Connection, "j/2/0", "safe"), nil},
+		{"by key, accepted after a lost connection whose node reports the end later", first("keyed").
+			accept(node1Connection, "j/1/0").at(600).reconnect(secondNode1Connection).
+			offer(secondNode1Connection, "j/1/1", "keyed").accept(secondNode1Connection, "j/1/1").at(700).
+			reportEnds(secondNode1Connection, "j/1/0"), nil},
+		{"by key, accepted after a lost connection without an end", first("keyed").
+			accept(node1Connection, "j/1/0").at(600).reconnect(secondNode1Connection).
+			offer(secondNode1Connection, "j/1/1", "keyed").accept(secondNode1Connection, "j/1/1"), []int{NoDuplicateStart}},
+	}
+}
+
 func drainCases() []ruleCase {
 	draining := func() *recordingBuilder { return newRecording().at(100).listing(false, "n1:draining") }
 	return []ruleCase{
@@ -111,6 +149,10 @@
 		{"start reported by the node alone", newRecording().at(100).welcome(100, true).offerMany(4), []int{SlowStartRespected}},
 		{"a node that is not fresh reports no start", newRecording().at(100).welcome(100, false).offerMany(9), nil},
 		{"after the slow start", listed().at(6000).offerMany(9), nil},
+		{"offers that were read late and sent apart", listed().at(950).readLate(800, 0).offerMany(3).at(1200).readLate(0, 0).
+			offer(node1Connection, "n/1/0", "unsafe"), nil},
+		{"offers that were read late and sent together", listed().at(950).readLate(100, 0).offerMany(3).at(1200).readLate(0, 0).
+			offer(node1Connection, "n/1/0", "unsafe"), []int{SlowStartRespected}},
 		{"no scheduler was notified", newRecording().offerMany(9), nil},
 	}
 }
@@ -122,6 +164,10 @@
 	return []ruleCase{
 		{"two in a zone", two().offer(node2Connection, "c/1/0", "safe"), nil},
 		{"three in a zone", two().offer(node1Connection, "c/1/0", "safe"), []int{SpreadRespected}},
+		{"one of three is accepted after its stop, and the offer crosses that", two().stop(node1Connection, "a/1/0").at(100).
+			accept(node1Connection, "a/1/0").at(105).offer(node1Connection, "c/1/0", "safe"), nil},
+		{"one of three is accepted after its stop, and known to be", two().stop(node1Connection, "a/1/0").at(100).
+			accept(node1Connection, "a/1/0").at(111).offer(node1Connection, "c/1/0", "safe"), []int{SpreadRespected}},
 		{"one of three has ended", two().accept(node1Connection, "a/1/0").end(node1Connection, "a/1/0").
 			offer(node1Connection, "c/1/0", "safe"), nil},
 	}
--- a/internal/testbed/rules/slowstart.go
+++ b/internal/testbed/rules/slowstart.go
@@ -9,14 +9,17 @@
 	violationReported bool             // at most one violation is reported for each slow start
 }
 
+// slowStartOffer is an offer to the node. Without the delay of the recorder, it would have been delivered between deliveredAfter
+// and deliveredAt.
 type slowStartOffer struct {
+	deliveredAfter    time.Duration
 	deliveredAt       time.Duration
 	schedulerNotified bool // the offering scheduler was notified of this start of the node
 }
 
 // offerDelivered checks an offer when it is delivered to a node in slow start. The limit is violated only if at least two
 // thirds of the offers come from schedulers that were notified of the start, since the others could not know of it.
-func (c *checker) offerDelivered(link *connection) {
+func (c *checker) offerDelivered(link *connection, id string) {
 	node, limits := link.listener, &c.limits.SlowStart
 	view := c.view(link.dialer, node)
 	start := c.slowStartOf(node, view)
@@ -28,7 +31,12 @@
 		return
 	}
 	c.verdict.Rules[SlowStartRespected].Checked++
-	start.addOffer(slowStartOffer{deliveredAt: c.now, schedulerNotified: view.startedAt() == start.startedAt}, limits.Window)
+	offer := slowStartOffer{deliveredAfter: c.now, deliveredAt: c.now, schedulerNotified: view.startedAt() == start.startedAt}
+	if a := c.attempts[id]; a != nil {
+		offer.deliveredAt -= a.readDelay
+		offer.deliveredAfter = offer.deliveredAt - (a.sentAt - a.sentAfter)
+	}
+	start.addOffer(offer, limits.Window)
 	limit, offers := limits.offerLimit(age), len(start.offers)
 	mostNotified := 3*start.countNotified() >= 2*offers
 	if float64(offers) > limit && mostNotified && !start.violationReported {
@@ -48,11 +56,11 @@
 	return start
 }
 
-// addOffer adds an offer and removes those that were delivered before the window that ends with it.
+// addOffer adds an offer and removes those that may have been delivered before the window that ends with it.
 func (s *slowStart) addOffer(offer slowStartOffer, window time.Duration) {
 	recent := s.offers[:0]
 	for _, earlier := range s.offers {
-		if earlier.deliveredAt >= offer.deliveredAt-window {
+		if earlier.deliveredAfter >= offer.deliveredAt-window {
 			recent = append(recent, earlier)
 		}
 	}
