The session of an adopted job exists on all cores of a scheduler

What callers saw: after a restart with four cores a session could be opened, but its event stream and most submissions got 404 InvalidSession for good. Cause: the core that adopts a job added its session for itself only; the first core answers for sessions, so clients did not create it again. Change: ShareSession; the first core passes the session to the others in the order of the commands on sessions.

--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -47,11 +47,26 @@
 		r.publish(&e)
 	case scheduler.LogOutcome:
 		r.logOutcome(&e)
+	case scheduler.ShareSession:
+		r.shareSession(e.Name)
 	case scheduler.Drained:
 		r.markDrained()
 	}
 }
 
+// shareSession adds a session to the other cores. The first core passes it on, so all cores receive it in the same order as the
+// commands that create and destroy sessions.
+func (r *coreRunner) shareSession(name string) {
+	first, others := r.daemon.runners[0], r.daemon.runners[1:]
+	if r != first {
+		first.requeue(scheduler.SessionAdopted{Name: name, Share: true})
+		return
+	}
+	for _, other := range others {
+		other.requeue(scheduler.SessionAdopted{Name: name})
+	}
+}
+
 // sendOffer puts an offer into the outbox of its node. If the node is not connected, it reports to the core that the offer was
 // not sent.
 func (r *coreRunner) sendOffer(stepTime scheduler.Time, e *scheduler.SendOffer) {
--- a/internal/daemon/multicore_test.go
+++ b/internal/daemon/multicore_test.go
@@ -144,6 +144,39 @@
 	}
 }
 
+// The session of an adopted job exists on all cores of a restarted scheduler. With the former code only the core that adopted the
+// job had it: opening the session succeeded, but most submissions were rejected for good.
+func TestSessionOfAdoptedJobExistsOnAllCores(t *testing.T) {
+	ctx, cluster, session := newTestSession(t, time.Minute, clusterOptions{nodes: 1, configure: configureCores(4)})
+	job, err := session.RunJob(ctx, jobTemplate("once", 10*time.Second, drmaa2.AttrKey, "k"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := job.WaitStarted(ctx, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	cluster.restartDaemon()
+	session, err = cluster.client.OpenJobSession(ctx, "test")
+	for errors.Is(err, drmaa2.ErrInvalidArgument) && ctx.Err() == nil { // the node has not reported the job yet
+		session, err = cluster.client.OpenJobSession(ctx, "test")
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	const submissions = 32 // spread over all cores by their keys
+	for i := range submissions {
+		template := jobTemplate("service", time.Millisecond, drmaa2.AttrKey, fmt.Sprint("after", i))
+		_, err := session.RunJob(ctx, template)
+		// The first core shares the session with the others right after the client has seen it.
+		for errors.Is(err, drmaa2.ErrInvalidSession) && ctx.Err() == nil {
+			_, err = session.RunJob(ctx, template)
+		}
+		if err != nil {
+			t.Fatalf("submission %d: %v", i, err)
+		}
+	}
+}
+
 // checkAdoptedJobEnds waits until a restarted scheduler knows a job by its ID, which it does when the job's node has reported
 // it, and checks that the job ends in the state DONE within the timeout.
 func checkAdoptedJobEnds(ctx context.Context, t *testing.T, cluster *testCluster, id string, timeout time.Duration) {
--- a/internal/scheduler/adoption.go
+++ b/internal/scheduler/adoption.go
@@ -132,8 +132,8 @@
 		subState:      SubStateAccepted,
 	}
 	c.addJob(job)
-	if spec.Session != "" {
-		c.sessions[spec.Session] = true
+	if spec.Session != "" && !c.sessions[spec.Session] {
+		c.addSession(spec.Session)
 	}
 	return job
 }
--- a/internal/scheduler/effects.go
+++ b/internal/scheduler/effects.go
@@ -60,6 +60,8 @@
 		Job     JobInfo
 		Attempt string // attempt that was placed or in progress when the placement request was closed; empty for none
 	}
+	// ShareSession requests that the other cores of the scheduler get a session that this core has added without a command.
+	ShareSession struct{ Name string }
 	// Drained reports that the core is draining and that no placement request is open.
 	Drained struct{}
 )
@@ -76,4 +78,5 @@
 func (Answer) effect()             {}
 func (Publish) effect()            {}
 func (LogOutcome) effect()         {}
+func (ShareSession) effect()       {}
 func (Drained) effect()            {}
--- a/internal/scheduler/inputs.go
+++ b/internal/scheduler/inputs.go
@@ -35,6 +35,12 @@
 		Verb      Verb // CreateSession, OpenSession, DestroySession or ListSessions
 		Name      string
 	}
+	// SessionAdopted reports that another core has adopted a job of a session that it did not have. If Share is set, a core that
+	// did not have the session either passes it on with ShareSession.
+	SessionAdopted struct {
+		Name  string
+		Share bool
+	}
 	// Machines requests the machines that this scheduler knows.
 	Machines struct{ RequestID uint64 }
 	// Watch publishes each change of a job, of the jobs of an array or of the jobs of a session to Stream until Unwatch. It
--- a/internal/scheduler/script_output_test.go
+++ b/internal/scheduler/script_output_test.go
@@ -25,6 +25,8 @@
 		return outcomeText(effect.Job)
 	case Drained:
 		return "drained"
+	case ShareSession:
+		return "share session " + effect.Name
 	}
 	return messageText(effect)
 }
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -28,6 +28,23 @@
 	}
 }
 
+// apply adds the session of a job that another core has adopted.
+func (in SessionAdopted) apply(c *Core) {
+	switch {
+	case c.sessions[in.Name]:
+	case in.Share:
+		c.addSession(in.Name)
+	default:
+		c.sessions[in.Name] = true
+	}
+}
+
+// addSession adds a session without a command, and passes it on to the other cores.
+func (c *Core) addSession(name string) {
+	c.sessions[name] = true
+	c.emit(ShareSession{name})
+}
+
 // sessionNames returns the names of the job sessions, sorted. The result is never nil, so that it is encoded as a list.
 func (c *Core) sessionNames() []string {
 	names := slices.AppendSeq(make([]string, 0, len(c.sessions)), maps.Keys(c.sessions))
