A stall of the recorder's process is recorded, and moves deadlines of outcomes

Cause: a machine that runs no process for some 100 ms delays schedulers as well; rule 1 was reported as broken, though no scheduler could run. Change: the recorder records its own stalls from 100 ms on, as measured, and the checker treats them like a pause of the schedulers' processes: a deadline within a stall moves to its end and the slack. Whether a scheduler ran meanwhile is not known to the recorder. Measured: "late because the machine stalled" fails with the former checker, its counterpart 120 ms after the stall is reported.

--- a/internal/testbed/recordproxy/event.go
+++ b/internal/testbed/recordproxy/event.go
@@ -20,6 +20,9 @@
 	EventNodeOverloaded Event = "node overloaded"
 	// EventBytesDropped means that from now on proxies drop bytes as part of a fault.
 	EventBytesDropped Event = "bytes dropped"
+	// EventRecorderStalled means that the recorder's process did not run for the duration of the mark. Whether the other
+	// processes of the machine ran is not known.
+	EventRecorderStalled Event = "recorder stalled"
 	// EventEnd marks the end of the recording.
 	EventEnd Event = "end"
 )
--- a/internal/testbed/recordproxy/recorder.go
+++ b/internal/testbed/recordproxy/recorder.go
@@ -64,7 +64,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stalls == nil {
-		r.stalls = startStallMonitor()
+		r.stalls = startStallMonitor(r.recordStall)
 	}
 	return r.stalls
 }
@@ -100,6 +100,13 @@
 	return id
 }
 
+// recordStall records a stall of the process that has just ended.
+func (r *Recorder) recordStall(length time.Duration) {
+	mark := NewMark(EventRecorderStalled, "recorder")
+	mark.DurationNs = int64(length)
+	r.write(&recordingpb.Record{Body: &recordingpb.Record_Mark{Mark: mark}})
+}
+
 // recordSent records bytes of a party, which were received in the given interval and may be recorded later.
 func (r *Recorder) recordSent(connection uint64, fromListener bool, data []byte, received interval) {
 	sent := &recordingpb.Sent{Conn: connection, Back: fromListener, Data: data,
--- a/internal/testbed/recordproxy/stalltracker.go
+++ b/internal/testbed/recordproxy/stalltracker.go
@@ -12,6 +12,8 @@
 	stallCheckInterval = 5 * time.Millisecond
 	// stallThreshold is the shortest time between two checks that counts as a stall of the process.
 	stallThreshold = 20 * time.Millisecond
+	// recordedStall is the shortest stall that is recorded as an event.
+	recordedStall = 100 * time.Millisecond
 	// stallRecovery is how long after a stall the proxies may still read bytes that were received during it.
 	stallRecovery = 100 * time.Millisecond
 )
@@ -23,15 +25,18 @@
 	stallStart, stallEnd time.Duration // of the latest stall
 }
 
-// check notes that the process runs. A stall that follows another before its recovery has ended prolongs it.
-func (s *stallTracker) check(now time.Duration) {
-	if now-s.checkedAt >= stallThreshold {
+// check notes that the process runs, and returns the time since the previous check. A stall that follows another before its
+// recovery has ended prolongs it.
+func (s *stallTracker) check(now time.Duration) (sinceCheck time.Duration) {
+	sinceCheck = now - s.checkedAt
+	if sinceCheck >= stallThreshold {
 		if s.stallEnd == 0 || s.checkedAt-s.stallEnd >= stallRecovery {
 			s.stallStart = s.checkedAt
 		}
 		s.stallEnd = now
 	}
 	s.checkedAt = now
+	return sinceCheck
 }
 
 // earliestReceipt returns the earliest time at which bytes that are read now may have been received.
@@ -47,14 +52,16 @@
 
 // stallMonitor checks a stallTracker periodically until it is stopped. It is safe for concurrent use.
 type stallMonitor struct {
+	onStall func(length time.Duration) // called after each recorded stall
 	mu      sync.Mutex
 	tracker stallTracker
 	stop    chan struct{}
 	stopped chan struct{}
 }
 
-func startStallMonitor() *stallMonitor {
-	m := &stallMonitor{tracker: stallTracker{checkedAt: clock.Now()}, stop: make(chan struct{}), stopped: make(chan struct{})}
+func startStallMonitor(onStall func(length time.Duration)) *stallMonitor {
+	m := &stallMonitor{onStall: onStall, tracker: stallTracker{checkedAt: clock.Now()}, stop: make(chan struct{}),
+		stopped: make(chan struct{})}
 	go m.run()
 	return m
 }
@@ -67,8 +74,11 @@
 		select {
 		case <-ticker.C:
 			m.mu.Lock()
-			m.tracker.check(clock.Now())
+			sinceCheck := m.tracker.check(clock.Now())
 			m.mu.Unlock()
+			if sinceCheck >= recordedStall {
+				m.onStall(sinceCheck)
+			}
 		case <-m.stop:
 			return
 		}
--- a/internal/testbed/rules/check.go
+++ b/internal/testbed/rules/check.go
@@ -122,6 +122,7 @@
 	jobs         map[string]*job
 	incarnations map[string]int                  // by scheduler: the number of times that it was killed
 	pauses       map[string][]pause              // by scheduler
+	stalls       []pause                         // of the recorder, and perhaps of the whole machine
 	views        map[string]map[string]*nodeView // by scheduler and node
 
 	attempts       map[string]*attempt
@@ -169,7 +170,7 @@
 	case *recordingpb.Record_Close:
 		c.connectionClosed(body.Close)
 	case *recordingpb.Record_Mark:
-		c.eventMarked(recordproxy.EventOf(body.Mark), body.Mark.Party)
+		c.eventMarked(body.Mark)
 	}
 }
 
--- a/internal/testbed/rules/recording_test.go
+++ b/internal/testbed/rules/recording_test.go
@@ -209,6 +209,14 @@
 	return r
 }
 
+// stall adds a stall of the recorder's process that ends now.
+func (r *recordingBuilder) stall(ms int64) *recordingBuilder {
+	mark := recordproxy.NewMark(recordproxy.EventRecorderStalled, "recorder")
+	mark.DurationNs = ms * int64(time.Millisecond)
+	r.add(&recordingpb.Record{Body: &recordingpb.Record_Mark{Mark: mark}})
+	return r
+}
+
 // submit adds a request that submits a job of class safe.
 func (r *recordingBuilder) submit() *recordingBuilder {
 	body, err := json.Marshal(drmaa2.Submission{Template: drmaa2.JobTemplate{RemoteCommand: "x", JobCategory: "safe"}})
--- a/internal/testbed/rules/reorder.go
+++ b/internal/testbed/rules/reorder.go
@@ -65,6 +65,8 @@
 		if latest := r.latestSent(body.Close.Conn, false); latest != nil {
 			record.TimeNs = causedAt(record.TimeNs, body.Close.ReadDelayNs, *latest)
 		}
+	case *recordingpb.Record_Mark: // an event that is recorded at its end
+		record.TimeNs = causedAt(record.TimeNs, body.Mark.DurationNs, 0)
 	}
 	heap.Push(&r.waiting, queuedRecord{record: record, sequence: r.sequence})
 	r.sequence++
--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -42,6 +42,10 @@
 			respond(2, drmaa2.Queued, "placed"), []int{OneOutcome}},
 		{"read with later bytes", newRecording().submit().respond(1, drmaa2.Queued, "").poll().at(1200).readLate(0, 150).
 			respond(2, drmaa2.Queued, "placed"), nil},
+		{"late because the machine stalled", newRecording().submit().respond(1, drmaa2.Queued, "").poll().at(1500).
+			respond(2, drmaa2.Queued, "placed").at(1510).stall(600), nil},
+		{"late after the machine stalled", newRecording().submit().respond(1, drmaa2.Queued, "").poll().at(1500).stall(600).
+			at(1620).respond(2, drmaa2.Queued, "placed"), []int{OneOutcome}},
 		{"none", newRecording().submit().respond(1, drmaa2.Queued, "").at(2000).mark(recordproxy.EventEnd, ""), []int{OneOutcome}},
 		{"none, but killed", newRecording().submit().respond(1, drmaa2.Queued, "").at(500).
 			mark(recordproxy.EventSchedulerKilled, "s").at(2000).mark(recordproxy.EventEnd, ""), nil},
