--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -13,6 +13,13 @@
 // flushCheckInterval is how often CloseWrite checks whether all queued bytes have been written.
 const flushCheckInterval = 2 * time.Millisecond
 
+// The values of Conn.enrollment.
+const (
+	enrollmentPending   int32 = iota // no event loop has taken the connection over
+	enrollmentOpened                 // an event loop has opened the connection
+	enrollmentAbandoned              // the dialing side no longer waits; the event loop closes the connection
+)
+
 // Conn is one connection. It is safe for concurrent use, except for the methods that may be called on its event loop only.
 // The event loop owns the socket and closes it.
 type Conn struct {
@@ -22,6 +29,7 @@
 	socket     gnet.Conn // set when the connection opens
 	remoteAddr string    // set when the connection opens
 	closed     atomic.Bool
+	enrollment atomic.Int32
 	writes     *writeBudget
 	overflowed bool  // the write queue was too long, so that the connection is about to close; used on the event loop only
 	reason     error // why this side closes the connection, nil if it does not; used on the event loop only
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -19,7 +19,9 @@
 	options    Options
 	lifetime   context.Context // canceled by Stop; links and acceptors then end
 	cancel     context.CancelFunc
-	goroutines sync.WaitGroup // of links and acceptors
+	goroutines sync.WaitGroup // of links, acceptors and enrollments
+
+	mu sync.Mutex // held by Stop while it cancels lifetime, and while an enrollment starts
 }
 
 // NewDialer starts event loops and returns a Dialer that uses them.
@@ -39,25 +41,65 @@
 	return d, nil
 }
 
-// Dial connects to addr, as host:port, within timeout and passes the connection's events to handler. If connecting fails, no
-// method of handler is called, and the error wraps that of net.Dialer, such as syscall.ECONNREFUSED or context.Canceled.
+// Dial connects to addr, as host:port, and passes the connection's events to handler. It returns within timeout, also if no event
+// loop takes the connection over. If it fails, no method of handler is called, and the error wraps that of net.Dialer, such as
+// syscall.ECONNREFUSED or context.Canceled, or is ErrStopping after Stop.
 func (d *Dialer) Dial(ctx context.Context, addr string, timeout time.Duration, handler Handler) (*Conn, error) {
-	netDialer := net.Dialer{Timeout: timeout}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var netDialer net.Dialer
 	socket, err := netDialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("transport: connect to %s: %w", addr, err)
 	}
 	c := &Conn{handler: handler, options: &d.options, queued: &d.events.queued, writes: &d.events.writes}
-	if _, err := d.client.EnrollContext(socket, c); err != nil {
+	if err := d.enroll(ctx, socket, c); err != nil {
 		return nil, fmt.Errorf("transport: pass connection to %s to an event loop: %w", addr, err)
 	}
 	return c, nil
 }
 
+// enroll passes a connection to an event loop, and waits until it is open or ctx ends. In the latter case the event loop closes
+// the connection when it takes it over.
+func (d *Dialer) enroll(ctx context.Context, socket net.Conn, c *Conn) error {
+	enrolled, err := d.startEnrollment(socket, c)
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-enrolled:
+		return err
+	case <-ctx.Done():
+	}
+	if c.enrollment.CompareAndSwap(enrollmentPending, enrollmentAbandoned) {
+		return ctx.Err()
+	}
+	return <-enrolled // the event loop has just opened the connection
+}
+
+// startEnrollment starts to pass a connection to an event loop. The returned channel receives the result when the loop has taken
+// the connection over. The error is ErrStopping after Stop: the event loops may have ended, and would never take it over.
+func (d *Dialer) startEnrollment(socket net.Conn, c *Conn) (<-chan error, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lifetime.Err() != nil {
+		_ = socket.Close()
+		return nil, ErrStopping
+	}
+	enrolled := make(chan error, 1)
+	d.goroutines.Go(func() {
+		_, err := d.client.EnrollContext(socket, c)
+		enrolled <- err
+	})
+	return enrolled, nil
+}
+
 // Stop ends all links and acceptors, then writes what is queued, closes all connections and stops the event loops. It waits
 // for all of their goroutines. The error is that of stopping the event loops.
 func (d *Dialer) Stop() error {
+	d.mu.Lock()
 	d.cancel()
+	d.mu.Unlock()
 	d.goroutines.Wait()
 	d.events.queued.await()
 	return d.client.Stop()
--- a/internal/transport/eventhandler.go
+++ b/internal/transport/eventhandler.go
@@ -19,6 +19,10 @@
 // OnOpen implements gnet.EventHandler. The context of a connection is the Conn with which it was enrolled.
 func (h *eventHandler) OnOpen(socket gnet.Conn) ([]byte, gnet.Action) {
 	c := socket.Context().(*Conn)
+	if !c.enrollment.CompareAndSwap(enrollmentPending, enrollmentOpened) {
+		c.closed.Store(true) // the handler is not notified
+		return nil, gnet.Close
+	}
 	c.socket, c.remoteAddr = socket, socket.RemoteAddr().String()
 	c.lastRead.Store(time.Now().UnixNano())
 	h.writes.add(c)
