--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"flaxshelf.example/flaxshelf/drmaa2"
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/settings"
 	"flaxshelf.example/flaxshelf/internal/testbed/standin/nodemodel"
 )
@@ -277,7 +278,7 @@
 		})
 		close(outcomes)
 	}()
-	<-outcomes
+	channeltest.Await(t, outcomes, "the first change of the job")
 	stopped := make(chan error, 1)
 	go func() { stopped <- cluster.daemon.Shutdown(ctx) }()
 	last := ""
@@ -287,7 +288,7 @@
 	if last != "placed" {
 		t.Errorf("outcome of %s: got %q, want placed", job.ID, last)
 	}
-	if err := <-stopped; err != nil {
+	if err := channeltest.Await(t, stopped, "the end of the shutdown"); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/daemon/multicore_test.go
+++ b/internal/daemon/multicore_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"flaxshelf.example/flaxshelf/drmaa2"
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/scheduler"
 	"flaxshelf.example/flaxshelf/internal/settings"
 	"flaxshelf.example/flaxshelf/internal/testbed/standin/nodemodel"
@@ -261,7 +262,7 @@
 		t.Fatal("no core stalled before the end of the context")
 	}
 	endedDuringStall, ended := runJobsDuringStall(ctx, t, session, hook, 60)
-	if err := <-stalled; err != nil {
+	if err := channeltest.Await(t, stalled, "the answer of the stalled core"); err != nil {
 		t.Error(err)
 	}
 	if endedDuringStall < 10 || endedDuringStall == ended {
--- a/internal/platform/helpers_test.go
+++ b/internal/platform/helpers_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/codec/nodebinary"
 	"flaxshelf.example/flaxshelf/internal/replay"
 	"flaxshelf.example/flaxshelf/internal/testbed/standin/scripted"
@@ -133,7 +134,7 @@
 		s.runResult <- Run(Options{ConfigPath: s.configPath, RecordingPath: s.recordingPath, Log: zerolog.New(s)}, s.stop, s.reload)
 	}()
 	t.Cleanup(s.shutDown)
-	<-s.feed.LastEventIDs
+	channeltest.Await(t, s.feed.LastEventIDs, "the first request of the control feed")
 	return s
 }
 
@@ -227,7 +228,7 @@
 // expectConnection waits for the node's next connection event, which must report a new connection.
 func expectConnection(t *testing.T, n *scripted.Node) {
 	t.Helper()
-	if event := <-n.ConnectionEvents; event != scripted.ConnectionOpened {
+	if event := channeltest.Await(t, n.ConnectionEvents, "a connection to the node"); event != scripted.ConnectionOpened {
 		t.Fatalf("the node got connection event %q, want %q", event, scripted.ConnectionOpened)
 	}
 }
--- a/internal/platform/leak_test.go
+++ b/internal/platform/leak_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/codec/nodebinary"
 	"flaxshelf.example/flaxshelf/internal/testbed/standin/scripted"
 )
@@ -55,10 +56,10 @@
 				n.ResetConnections()
 			case i%50 == 25:
 				s.feed.Break()
-				<-s.feed.LastEventIDs
+				channeltest.Await(t, s.feed.LastEventIDs, "a request of the control feed")
 			case i%50 == 49:
 				s.reload <- struct{}{}
-				<-s.feed.LastEventIDs
+				channeltest.Await(t, s.feed.LastEventIDs, "a request of the control feed")
 			}
 			discardReports(n)
 		}
--- a/internal/platform/mailbox_test.go
+++ b/internal/platform/mailbox_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"testing/synctest"
 
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/requests"
 )
 
@@ -36,7 +37,7 @@
 		}
 	}
 	expectTaken(t, b, 2, 1, 2)
-	<-b.ready // a message is left
+	channeltest.Await(t, b.ready, "the token of the message that is left")
 	b.tryPut(disconnected(5))
 	expectTaken(t, b, 9, 4, 5)
 	if !b.empty() {
@@ -56,13 +57,13 @@
 			t.Fatal("putWait returned, want it to wait for capacity")
 		}
 		b.take(nil, 1)
-		if !<-accepted {
+		if !channeltest.Await(t, accepted, "the result of putWait") {
 			t.Error("the message was not accepted, want it accepted after another was taken")
 		}
 		go func() { accepted <- b.putWait(disconnected(3), loopDone) }()
 		synctest.Wait()
 		close(loopDone)
-		if <-accepted {
+		if channeltest.Await(t, accepted, "the result of putWait") {
 			t.Error("the message was accepted, want it rejected after the end of the run loop")
 		}
 	})
--- a/internal/platform/memory_test.go
+++ b/internal/platform/memory_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"testing"
 
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/codec/nodebinary"
 	"flaxshelf.example/flaxshelf/internal/requests"
 	"flaxshelf.example/flaxshelf/internal/testbed/standin/scripted"
@@ -26,7 +27,7 @@
 	s := startSchedulerWith(t, schedulerOptions{logHook: func(line string) {
 		if strings.Contains(line, `"in":"Ping"`) && armed.CompareAndSwap(true, false) {
 			blocked <- struct{}{}
-			<-release
+			channeltest.Hold(release)
 		}
 	}}, scripted.Entry("s-1", n.Addr(), "active"))
 	usual := s.connect()
@@ -40,7 +41,7 @@
 	armed.Store(true)
 	pinged := make(chan bool, 1)
 	go func() { pinged <- s.connect().ping() }()
-	await(t, blocked, "the run loop to block")
+	channeltest.Await(t, blocked, "the run loop to block")
 	description := strings.Repeat("x", badBytes)
 	rejected := 0
 	for i, c := range clients {
@@ -62,7 +63,7 @@
 	usual.send(`{"type":"setup","id":"%016x","fields":{"class":"odd"},"sdp":"x"}`, 4)
 	usual.expectReply("release", 4, int(requests.CauseError)) // the event loop answers it, and has not rejected request 3
 	close(release)
-	if !await(t, pinged, "the health check that blocked the run loop") {
+	if !channeltest.Await(t, pinged, "the health check that blocked the run loop") {
 		t.Error("got a ping that failed, want it passed")
 	}
 	if r := usual.readReply(); r.ID != fmt.Sprintf("%016x", 3) { // the module may reject it among so many
@@ -79,7 +80,7 @@
 	s := startSchedulerWith(t, schedulerOptions{logHook: func(line string) {
 		if strings.Contains(line, `"in":"Ping"`) && armed.CompareAndSwap(true, false) {
 			blocked <- struct{}{}
-			<-release
+			channeltest.Hold(release)
 		}
 	}}, scripted.Entry("s-1", newNode(t, scripted.AcceptAll).Addr(), "active"))
 	owner := s.connect()
@@ -87,14 +88,14 @@
 	armed.Store(true)
 	pinged := make(chan bool, 1)
 	go func() { pinged <- s.connect().ping() }()
-	await(t, blocked, "the run loop to block")
+	channeltest.Await(t, blocked, "the run loop to block")
 	for i := range tasks {
 		owner.submit(firstTask+i, "at:s-1")
 	}
 	owner.send(`{"type":"setup","id":"%016x","fields":{"class":"odd"},"sdp":"x"}`, 1)
 	owner.expectReply("release", 1, int(requests.CauseError)) // the event loop has read all
 	close(release)
-	await(t, pinged, "the health check that blocked the run loop")
+	channeltest.Await(t, pinged, "the health check that blocked the run loop")
 	if !owner.ping() {
 		t.Error("got another message before the answer of the health check, want all tasks adopted")
 	}
--- a/internal/platform/offer_race_test.go
+++ b/internal/platform/offer_race_test.go
@@ -5,8 +5,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/codec/nodebinary"
 	"flaxshelf.example/flaxshelf/internal/testbed/standin/scripted"
 )
@@ -36,7 +36,7 @@
 	switch {
 	case strings.Contains(line, linkClosedMessage) && b.armed.CompareAndSwap(true, false):
 		b.blocked <- struct{}{}
-		<-b.release
+		channeltest.Hold(b.release)
 	case strings.Contains(line, b.effect):
 		report(b.executed, line)
 	case strings.Contains(line, `"in":"LinkUp"`):
@@ -52,21 +52,6 @@
 	}
 }
 
-// awaitLimit is how long a test waits for an event that its name describes. It is far above what a busy machine needs.
-const awaitLimit = 30 * time.Second
-
-// await waits for a value. It fails the test if none arrives within awaitLimit; what says what it waits for.
-func await[T any](t *testing.T, values <-chan T, what string) T {
-	t.Helper()
-	select {
-	case value := <-values:
-		return value
-	case <-time.After(awaitLimit):
-		t.Fatalf("waited %v for %s", awaitLimit, what)
-	}
-	panic("unreachable")
-}
-
 // An offer is not written if its owner disconnects or releases the task after the core decided to make the offer. To produce
 // this order, the test blocks the event loop when the link to another node closes, and then publishes a watch event that makes
 // the core offer the task.
@@ -96,14 +81,14 @@
 			// The core must know both links: the event loop could not establish the second one while it is blocked, and the
 			// offer would wait for it.
 			for range 2 {
-				await(t, blocker.linkUps, "a link to be up")
+				channeltest.Await(t, blocker.linkUps, "a link to be up")
 			}
 			blocker.armed.Store(true)
 			other.ResetConnections()
-			await(t, blocker.blocked, "the event loop to block")
+			channeltest.Await(t, blocker.blocked, "the event loop to block")
 			test.release(c)
 			s.feed.Publish(false, scripted.Entry("s-2", n.Addr(), "active"))
-			await(t, blocker.executed, "an offer")
+			channeltest.Await(t, blocker.executed, "an offer")
 			close(blocker.release)
 			s.connect().placeTask(3)
 			expectMessage(t, n, nodebinary.SetUp, 3)
@@ -120,16 +105,16 @@
 		scripted.Entry("s-1", other.Addr(), "leaving"), scripted.Entry("s-2", n.Addr(), "leaving"))
 	c := s.connect()
 	for range 2 {
-		await(t, blocker.linkUps, "a link to be up")
+		channeltest.Await(t, blocker.linkUps, "a link to be up")
 	}
 	c.send(`{"type":"setup","id":"%016x","fields":{"class":"batch","left":"900","key":"k2","extras":"cores:1;memory:1;service:s2"},`+
 		`"sdp":"owner's"}`, 2) // stays queued, since both nodes are draining
 	c.ping() // ensures that the request has been read
 	blocker.armed.Store(true)
 	other.ResetConnections()
-	await(t, blocker.blocked, "the event loop to block")
+	channeltest.Await(t, blocker.blocked, "the event loop to block")
 	s.feed.Publish(false, scripted.Entry("s-2", n.Addr(), "active"))
-	await(t, blocker.executed, "the request to fail at its deadline")
+	channeltest.Await(t, blocker.executed, "the request to fail at its deadline")
 	close(blocker.release)
 	s.connect().placeTask(3)
 	expectMessage(t, n, nodebinary.SetUp, 3)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/codec/nodebinary"
 	"flaxshelf.example/flaxshelf/internal/requests"
 	"flaxshelf.example/flaxshelf/internal/testbed/standin/scripted"
@@ -65,7 +66,7 @@
 	s := startScheduler(t, scripted.Entry("s-1", n.Addr(), "active"))
 	c := s.connect()
 	c.submit(2)
-	answer := <-delayed
+	answer := channeltest.Await(t, delayed, "the offer of task 2")
 	c.release(2, 16)
 	if m := awaitMessage(t, n, nodebinary.Release); m.Task != 2 || m.Cause != 16 {
 		t.Errorf("the node got %+v, want the release of task 2 with cause 16", m)
@@ -140,7 +141,7 @@
 	})
 	s := startScheduler(t, scripted.Entry("s-1", n.Addr(), "active"))
 	s.connect().placeTask(2)
-	if line := <-s.closedLinks; !strings.Contains(line, transport.ErrMessageTimeout.Error()) {
+	if line := channeltest.Await(t, s.closedLinks, "the log line of a closed link"); !strings.Contains(line, transport.ErrMessageTimeout.Error()) {
 		t.Errorf("got log line %s, want the reason %v", line, transport.ErrMessageTimeout)
 	}
 	seen := map[scripted.ConnectionEvent]int{}
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/codec/nodebinary"
 	"flaxshelf.example/flaxshelf/internal/requests"
 	"flaxshelf.example/flaxshelf/internal/testbed/standin/scripted"
@@ -106,7 +107,7 @@
 	s := startSchedulerWith(t, schedulerOptions{settings: longObjective}, scripted.Entry("s-1", n.Addr(), "active"))
 	c := s.connect()
 	c.submit(2)
-	answer := <-delayed // the attempt does not time out before the listener closes
+	answer := channeltest.Await(t, delayed, "the offer of task 2") // the attempt does not time out before the listener closes
 	close(s.stop)
 	s.awaitListenerClosed()
 	answer() // nothing else delays the exit
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/codec/nodebinary"
 	"flaxshelf.example/flaxshelf/internal/front/platformfront"
 	"flaxshelf.example/flaxshelf/internal/requests"
@@ -117,7 +118,7 @@
 	s.writeConfig(addr, testSettings)
 	s.reload <- struct{}{}
 	for i := range replies {
-		if got := <-lastEvents; got != "1" {
+		if got := channeltest.Await(t, lastEvents, "a request of the control feed"); got != "1" {
 			t.Errorf("stream %d: got a request for the events after %s, want those after 1", i, got)
 		}
 	}
@@ -205,7 +206,8 @@
 			go func() {
 				ended <- (&watchStream{scheduler: s, id: 1, addr: listener.Addr().String()}).run(ctx, cancel, 1)
 			}()
-			conns := []net.Conn{<-accepted, <-accepted}
+			first := channeltest.Await(t, accepted, "the first request of the control feed")
+			conns := []net.Conn{first, channeltest.Await(t, accepted, "the second request of the control feed")}
 			for _, conn := range conns {
 				defer conn.Close()
 				// The HTTP client drops a connection that sends a response before its request.
@@ -216,14 +218,14 @@
 			if _, err := io.WriteString(conns[test.answers], stream); err != nil {
 				t.Fatal(err)
 			}
-			<-s.mailbox.ready
+			channeltest.Await(t, s.mailbox.ready, "the notification of the stream")
 			batch := s.mailbox.take(nil, 1)
 			if len(batch) != 1 || batch[0].notification.input != (requests.WatchEstablished{}) {
 				t.Errorf("got %+v, want the notification that the watch is established", batch)
 			}
 			_ = conns[test.answers].Close()
 			var watchErr *watchError
-			if err := <-ended; !errors.As(err, &watchErr) || watchErr.Operation != watchRead {
+			if err := channeltest.Await(t, ended, "the end of the stream"); !errors.As(err, &watchErr) || watchErr.Operation != watchRead {
 				t.Errorf("got error %v, want one of operation %q", err, watchRead)
 			}
 		})
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 )
 
 // A partial message stays buffered until the rest arrives, and all messages that arrive together are handled.
@@ -82,9 +84,9 @@
 		return &openedHandler{echoHandler{closed: make(chan error, 1)}, conns}
 	})
 	dial(t, s.Addr())
-	slow := <-conns
+	slow := channeltest.Await(t, conns, "the first connection")
 	other := dial(t, s.Addr())
-	<-conns
+	channeltest.Await(t, conns, "the second connection")
 	for range 32 {
 		slow.Send(make([]byte, 1<<20))
 	}
@@ -97,7 +99,7 @@
 	conns, closed := make(chan *Conn, 1), make(chan error, 1)
 	a, stop := accept(t, func() {}, func(*Conn) Handler { return &openedHandler{echoHandler{closed: closed}, conns} })
 	c := dial(t, a.Addr())
-	conn, big := <-conns, strings.Repeat("x", 4<<20)
+	conn, big := channeltest.Await(t, conns, "the connection"), strings.Repeat("x", 4<<20)
 	conn.Send([]byte(big))
 	conn.CloseWrite()
 	if got, err := io.ReadAll(c); err != nil || string(got) != big {
@@ -183,9 +185,9 @@
 		t.Fatal(err)
 	}
 	dial(t, a.Addr())
-	slowest := <-conns
+	slowest := channeltest.Await(t, conns, "the first connection")
 	dial(t, a.Addr())
-	other := <-conns
+	other := channeltest.Await(t, conns, "the second connection")
 	other.Send(make([]byte, limit/2))
 	for range 2 * limit >> 20 { // twice the limit, in MiB, which is half of MaxWriteQueue
 		slowest.Send(make([]byte, 1<<20))
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 )
 
 // unusedHandler fails its test if any of its methods is called.
@@ -38,7 +40,7 @@
 	if _, err := io.WriteString(peer, "x"); err != nil {
 		t.Fatal(err)
 	}
-	<-handler.blocked
+	channeltest.Await(t, handler.blocked, "the held event loop")
 	return handler
 }
 
--- a/internal/transport/helpers_test.go
+++ b/internal/transport/helpers_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 )
 
 func TestMain(m *testing.M) {
@@ -87,7 +89,7 @@
 
 func (h *blockingHandler) Receive(_ *Conn, in []byte) (int, error) {
 	h.blocked <- struct{}{}
-	<-h.release
+	channeltest.Hold(h.release)
 	return len(in), nil
 }
 
--- a/internal/transport/order_test.go
+++ b/internal/transport/order_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"strings"
 	"testing"
+
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 )
 
 // Messages that were sent before Stop reach their peers, even if the event loop is busy and has more than 1,024 tasks queued,
@@ -35,10 +37,10 @@
 	}
 	var conns []*Conn
 	for range count {
-		conns = append(conns, <-opened)
+		conns = append(conns, channeltest.Await(t, opened, "a connection"))
 	}
 	writeText(t, peers[count], "busy")
-	<-blocker.blocked
+	channeltest.Await(t, blocker.blocked, "the held event loop")
 	for i, c := range conns {
 		if i > 0 && i == firstRun {
 			c.RunOnLoop(0, func(func([]byte)) { _, _ = blocker.Receive(c, nil) })
@@ -48,7 +50,7 @@
 	a.Stop()
 	if firstRun > 0 {
 		blocker.release <- struct{}{}
-		<-blocker.blocked
+		channeltest.Await(t, blocker.blocked, "the held event loop")
 	}
 	go blocker.releaseDuringStop()
 	stop()
@@ -69,8 +71,8 @@
 	})
 	c := dial(t, a.Addr())
 	writeText(t, c, "busy")
-	<-blocker.blocked
-	conn, want := <-conns, strings.Builder{}
+	channeltest.Await(t, blocker.blocked, "the held event loop")
+	conn, want := channeltest.Await(t, conns, "the connection"), strings.Builder{}
 	const count = 5000
 	for i := range count {
 		line := fmt.Sprintf("%d\n", i)
@@ -93,7 +95,7 @@
 		return &openedHandler{echoHandler{closed: make(chan error, 1)}, conns}
 	})
 	c := dial(t, a.Addr())
-	conn := <-conns
+	conn := channeltest.Await(t, conns, "the connection")
 	const count = 20000
 	go func() {
 		for i := range count {
--- a/internal/transport/outbox_test.go
+++ b/internal/transport/outbox_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"flaxshelf.example/flaxshelf/internal/channeltest"
 )
 
 // Flush discards the messages that have expired and calls their onExpired, and writes the others in order. Without a connection
@@ -51,7 +53,7 @@
 			put("d")
 			o.Flush(c, func() bool { return round.inTime })
 			for _, want := range round.want {
-				if line := <-lines; line != string(want) {
+				if line := channeltest.Await(t, lines, "a line"); line != string(want) {
 					t.Errorf("received line: got %q, want %q", line, want)
 				}
 			}
