--- a/internal/daemon/inventory.go
+++ b/internal/daemon/inventory.go
@@ -31,7 +31,7 @@
 }
 
 // receiveFrame sends the input of a frame to the cores. It stores the connection when it is welcomed, and logs a request that
-// the inventory reports as failed.
+// the inventory reports as failed; the cores then request the list again.
 func (h *inventoryHandler) receiveFrame(c *transport.Conn, frame *nodepb.Frame) error {
 	decoded, err := h.front.Decode(frame)
 	switch {
@@ -41,9 +41,7 @@
 		h.daemon.inventoryConn.Store(c)
 		return nil
 	case decoded.Failed:
-		// decoded.Input is not sent to the cores. This is a known issue, listed in docs/ROADMAP.md.
 		h.daemon.log.Warn().Str("reason", frame.GetListError().Message).Msg("inventory reported a failed request")
-		return nil
 	case decoded.Input == nil:
 		return nil
 	}
