--- a/internal/benchadapter/machines.go
+++ b/internal/benchadapter/machines.go
@@ -1,6 +1,8 @@
 package benchadapter
 
 import (
+	"errors"
+	"io"
 	"strings"
 
 	"flaxshelf.example/flaxshelf"
@@ -28,6 +30,9 @@
 	var list []listedMachine
 	for range count {
 		line, err := r.readLine()
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/benchadapter/reader.go
+++ b/internal/benchadapter/reader.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// Next reads the next batch. The error is io.EOF when the input ends between batches or between the entries of a machine list,
-// io.ErrUnexpectedEOF when it ends elsewhere within a batch, and otherwise a *ProtocolError or the error of the input.
+// Next reads the next batch. The error is io.EOF when the input ends between batches, io.ErrUnexpectedEOF when it ends within a
+// batch, and otherwise a *ProtocolError or the error of the input.
 func (r *Reader) Next() (*Batch, error) {
 	batch, err := r.readBatchStart()
 	if err != nil {
--- a/internal/benchadapter/reader_test.go
+++ b/internal/benchadapter/reader_test.go
@@ -133,6 +133,12 @@
 			t.Errorf("got %v, want %v", err, io.ErrUnexpectedEOF)
 		}
 	})
+	t.Run("input that ends between the entries of a machine list", func(t *testing.T) {
+		text := frame + "REGISTER page=0 records=2\nM node=n1\n"
+		if _, err := NewReader(strings.NewReader(text)).Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("got %v, want %v", err, io.ErrUnexpectedEOF)
+		}
+	})
 	t.Run("no frame", func(t *testing.T) {
 		_, err := NewReader(strings.NewReader("WAKEUP who=1\n")).Next()
 		var got *ProtocolError
