Platform: settings that only the core rejects exit with 2, as other invalid settings do

Change: it is wrapped in a ConfigError of the field settings. Measured: TestSettingsThatTheCoreRejectsAreAConfigError got the bare error before and passes now; platform, front/platformfront and cmd/benchadapter's tests pass.

--- a/internal/front/platformfront/errors.go
+++ b/internal/front/platformfront/errors.go
@@ -20,6 +20,9 @@
 	Err    error  // the cause, or nil
 }
 
+// NewSettingsError returns a *ConfigError for settings that were parsed and that the core rejects.
+func NewSettingsError(cause error) error { return &ConfigError{Field: fieldSettings, Err: cause} }
+
 // Error implements error.
 func (e *ConfigError) Error() string {
 	parts := []string{ErrConfig.Error()}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -131,7 +131,8 @@
 	return s
 }
 
-// newCore creates the core, and the recording of the placer's steps if Options.RecordingPath is set.
+// newCore creates the core, and the recording of the placer's steps if Options.RecordingPath is set. The error for settings that
+// the core rejects is a *platformfront.ConfigError.
 func (s *scheduler) newCore(config *platformfront.Config) error {
 	coreConfig := corelimits.CoreConfig(config)
 	var err error
@@ -141,8 +142,10 @@
 		}
 		coreConfig.RecordStep = s.recording.WriteStep
 	}
-	s.core, err = requests.New(coreConfig)
-	return err
+	if s.core, err = requests.New(coreConfig); err != nil {
+		return platformfront.NewSettingsError(err)
+	}
+	return nil
 }
 
 // listen starts the event loop and listens for owners.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -13,6 +14,7 @@
 
 	"flaxshelf.example/flaxshelf/internal/channeltest"
 	"flaxshelf.example/flaxshelf/internal/codec/nodebinary"
+	"flaxshelf.example/flaxshelf/internal/front/platformfront"
 	"flaxshelf.example/flaxshelf/internal/requests"
 	"flaxshelf.example/flaxshelf/internal/testbed/standin/scripted"
 	"flaxshelf.example/flaxshelf/internal/transport"
@@ -343,3 +345,12 @@
 		t.Errorf("got error %v, want one that names the field feed", err)
 	}
 }
+
+// Settings that can be parsed, but that only the core rejects, are an invalid configuration, for which the program exits with 2.
+func TestSettingsThatTheCoreRejectsAreAConfigError(t *testing.T) {
+	s := &testScheduler{t: t, configPath: filepath.Join(t.TempDir(), "config.json"), addr: "127.0.0.1:0"}
+	s.writeConfig("127.0.0.1:1", strings.Replace(testSettings, `"most_tries":3`, `"most_tries":-1`, 1))
+	if err := Run(Options{ConfigPath: s.configPath}, nil, nil); !errors.Is(err, platformfront.ErrConfig) {
+		t.Errorf("got error %v, want %v", err, platformfront.ErrConfig)
+	}
+}
