Platform: the time left of an adoption is limited as that of a submission

Change: it is limited to an hour; what is no number means now. An adoption is still not rejected for it. Measured: TestAdoptionLimitsTimeLeft fails for 1e999, inf, 3600001 and 1e300 with the former code and passes now.

--- a/internal/front/platformfront/owner.go
+++ b/internal/front/platformfront/owner.go
@@ -94,15 +94,20 @@
 	return extras
 }
 
-// decodeDeadline returns the deadline, which the message has as the time left in milliseconds. If it is optional, a missing or
-// invalid time is no error; a missing or negative one then means now.
+// decodeDeadline returns the deadline, which the message has as the time left in milliseconds. If it is optional, an invalid time
+// is no error: it is limited to the valid ones, and a missing one or one that is no number means now.
 func decodeDeadline(m *ownerjson.Message, now requests.Time, optional bool) (requests.Time, error) {
-	millis, err := strconv.ParseFloat(m.Fields[ownerjson.FieldTimeLeft], 64)
-	valid := err == nil && millis >= 0 && millis <= float64(maxTimeLeft/time.Millisecond)
-	if !valid && !optional {
+	const maxMillis = float64(maxTimeLeft / time.Millisecond)
+	millis, err := strconv.ParseFloat(m.Fields[ownerjson.FieldTimeLeft], 64) // infinite if out of range
+	valid := err == nil && millis >= 0 && millis <= maxMillis
+	switch {
+	case !valid && !optional:
 		return 0, invalidField(m, ownerjson.FieldTimeLeft, "must be 0 to 3600000 milliseconds")
+	case math.IsNaN(millis):
+		millis = 0
 	}
-	return now + time.Duration(max(millis, 0)*float64(time.Millisecond)), nil
+	millis = min(max(millis, 0), maxMillis)
+	return now + time.Duration(millis*float64(time.Millisecond)), nil
 }
 
 // decodeTask decodes the fields that submissions and adoptions have in common, except the deadline.
--- a/internal/front/platformfront/owner_test.go
+++ b/internal/front/platformfront/owner_test.go
@@ -55,6 +55,20 @@
 	}
 }
 
+// An adoption is not rejected for its time left, but an invalid one must not become a deadline of any kind.
+func TestAdoptionLimitsTimeLeft(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": 0, "1500": 1500 * time.Millisecond, "-5": 0, "nan": 0, "soon": 0, "-inf": 0, "3600000": time.Hour, "3600001": time.Hour,
+		"1e300": time.Hour, "1e999": time.Hour, "inf": time.Hour,
+	} {
+		got, err := decodeOwnerLine(t, parseConfig(t), setUpLine("batch_one", text, "7f3a", "", validExtras+";at:s-1"))
+		adopt, ok := got.(requests.Adopt)
+		if err != nil || !ok || adopt.Task.Deadline != 10*time.Second+want {
+			t.Errorf("time left %q: got %+v and error %v, want an adoption with %v left", text, got, err, want)
+		}
+	}
+}
+
 func TestInvalidRuntimeHintIsIgnored(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"": 0, "1.5": 1500 * time.Microsecond, "0": 0, "-1": 0, "nan": 0, "soon": 0, "inf": 0, "86400000": 0,
