Platform: a link is closed once

Change: closeLink does nothing for a link that was removed. Measured: TestLinkIsClosedOnce got two effects before and gets one now; requests and platformsim pass.

--- a/internal/requests/link.go
+++ b/internal/requests/link.go
@@ -228,8 +228,12 @@
 	})
 }
 
-// closeLink closes a link and removes it from the core.
+// closeLink closes a link and removes it from the core. It does nothing for a link that was removed before: the end of an attempt,
+// which a removal causes, may close further links.
 func (c *Core) closeLink(l *link) {
+	if c.links[l.id] != l {
+		return
+	}
 	c.emit(CloseLink{l.id})
 	c.removeLink(l)
 }
--- a/internal/requests/link_test.go
+++ b/internal/requests/link_test.go
@@ -276,3 +276,18 @@
 	h.step(LinkUp{renewed}, nodeReleased(renewed, 1, CauseNormal))
 	expectEffect(h, Terminated{Conn: 1, Task: taskID(1), Cause: CauseNormal})
 }
+
+// A link is closed once: of the links of a node that are closed together, one may be closed by the end of another's attempts.
+func TestLinkIsClosedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.connect(1)
+	h.addNodes("n")
+	id := h.placeTask(1, 1).Link
+	l := h.core.links[id]
+	h.core.effects = nil
+	h.core.closeLink(l)
+	h.core.closeLink(l)
+	if want := []Effect{CloseLink{id}}; !slices.Equal(h.core.effects, want) {
+		t.Errorf("got effects %v, want %v", h.core.effects, want)
+	}
+}
