Platform: a scheduler exits only after its event loop has read the owners' sockets

What callers saw: after SIGTERM a request written in time could get no answer if the event loop was held or starved for longer than the quiet period of 50 ms. Cause: quiet was judged by what the event loop had read. Change: after the quiet period a function runs on the event loop, which reads what is ready first; the scheduler exits when it comes back without data, or at 3.2 s as before.

--- a/internal/platform/mailbox.go
+++ b/internal/platform/mailbox.go
@@ -15,6 +15,7 @@
 	openedConn   *transport.Conn    // the connection, if the message reports that it has opened; else nil
 	receivedAt   requests.Time      // when the event loop received it from an owner; 0: it is not from an owner
 	notification *watchNotification // set if the message is from the endpoint watch; else nil
+	socketsRead  requests.Time      // by then, the event loop had read what owners had sent; 0: the message does not tell
 
 	// reserved is the number of bytes that the mailbox holds for the message, for the owner or the link below; 0: none.
 	reserved int
--- a/internal/platform/run_loop.go
+++ b/internal/platform/run_loop.go
@@ -62,6 +62,7 @@
 	for _, m := range l.batch {
 		l.inputs = l.handleMessage(m, l.inputs)
 		l.shutdown.lastReceived = max(l.shutdown.lastReceived, m.receivedAt)
+		l.shutdown.socketsRead = max(l.shutdown.socketsRead, m.socketsRead)
 	}
 	return clock.Now()
 }
@@ -89,18 +90,34 @@
 	step := l.shutdown.nextStep(now, shutdownState{
 		idle:            l.core.Idle() && l.mailbox.empty(),
 		partialMessages: l.ownerPartialMessages.Load() > 0,
+		unreadSockets:   len(l.owners) > 0 && !l.shutdown.hasReadSockets(),
 		listening:       !l.acceptor.Stopped(),
 	})
 	if step.drain {
 		l.acceptor.Drain()
 		l.listenerStopped = l.acceptor.Done()
 	}
+	if step.read {
+		l.readSockets(now)
+	}
 	if !step.exit {
 		l.shutdownRecheck = time.After(step.recheck)
 	}
 	return step.exit
 }
 
+// readSockets makes the event loop report when it has read what owners had sent by now. The loop reads the sockets that are ready
+// before it runs what was queued for it meanwhile. An event loop that did not get the processor may have read nothing for longer
+// than a quiet period.
+func (l *runLoop) readSockets(now requests.Time) {
+	for _, owner := range l.owners {
+		queued := owner.conn.RunOnLoop(0, func(func([]byte)) { l.mailbox.forcePut(message{socketsRead: now}) })
+		if queued && !owner.conn.IsClosed() {
+			return
+		}
+	}
+}
+
 // handleMessage applies a message to the tables of connections and to the endpoint watch, and appends the message's inputs for
 // the core to inputs, which it returns.
 func (s *scheduler) handleMessage(m message, inputs []requests.Input) []requests.Input {
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -26,6 +26,7 @@
 type gracefulShutdown struct {
 	requestedAt  requests.Time // 0: not requested
 	lastReceived requests.Time // when an owner last connected or sent data
+	socketsRead  requests.Time // by then, what owners had sent was read for certain; see runLoop.readSockets
 	draining     bool          // the listener is being drained
 }
 
@@ -33,12 +34,14 @@
 type shutdownState struct {
 	idle            bool // no request is pending and no message is queued for the run loop
 	partialMessages bool // a message from an owner was received only in part
+	unreadSockets   bool // the event loop may not have read yet what owners have sent
 	listening       bool // the listener is open, and connections may wait in its queue
 }
 
 // shutdownStep is the next step of a graceful shutdown.
 type shutdownStep struct {
 	drain   bool          // accept the connections in the listener's queue, then stop listening
+	read    bool          // have the event loop read the owners' sockets
 	exit    bool          // the shutdown is complete
 	recheck time.Duration // maximum time until nextStep is to be called again
 }
@@ -61,6 +64,13 @@
 		return shutdownStep{recheck: quietPeriod}
 	case quiet < quietPeriod:
 		return shutdownStep{recheck: quietPeriod - quiet}
+	case state.unreadSockets && elapsed < partialMessageDeadline:
+		return shutdownStep{read: true, recheck: quietPeriod}
 	}
 	return shutdownStep{exit: true}
 }
+
+// hasReadSockets reports whether the event loop has read the owners' sockets at the end of a quiet period.
+func (g *gracefulShutdown) hasReadSockets() bool {
+	return g.socketsRead >= max(g.lastReceived, g.requestedAt)+quietPeriod
+}
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -21,6 +21,7 @@
 	listening := shutdownState{idle: true, listening: true}
 	partial := shutdownState{idle: true, partialMessages: true}
 	idle := shutdownState{idle: true}
+	unread := shutdownState{idle: true, unreadSockets: true}
 	for _, c := range []struct {
 		name         string
 		elapsed      time.Duration
@@ -35,6 +36,9 @@
 		{"a partial request past its deadline", partialMessageDeadline, 0, partial, shutdownStep{exit: true}},
 		{"an owner sent just now", acceptPeriod + 30, acceptPeriod, idle, shutdownStep{recheck: quietPeriod - 30}},
 		{"everything is answered", acceptPeriod + quietPeriod, acceptPeriod, idle, shutdownStep{exit: true}},
+		{"an owner may have sent what is not read yet", acceptPeriod + quietPeriod, acceptPeriod, unread,
+			shutdownStep{read: true, recheck: quietPeriod}},
+		{"the event loop reads nothing until the deadline", partialMessageDeadline, 0, unread, shutdownStep{exit: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := gracefulShutdown{requestedAt: requestedAt, lastReceived: requestedAt + c.lastReceived}
@@ -55,10 +59,16 @@
 	})
 }
 
+// listenerPollInterval is longer than the listener waits for each further connection while it is drained. Polls without a pause
+// kept it open for a second longer, and a partial request then came close to its timeout.
+const listenerPollInterval = 50 * time.Millisecond
+
 // awaitListenerClosed waits until connections to the scheduler are refused.
 func (s *testScheduler) awaitListenerClosed() {
 	s.t.Helper()
-	for deadline := time.Now().Add(10 * time.Second); ; {
+	polls := time.NewTicker(listenerPollInterval)
+	defer polls.Stop()
+	for deadline := time.Now().Add(10 * time.Second); ; <-polls.C {
 		conn, err := net.Dial("tcp", s.addr)
 		if err != nil {
 			return
@@ -94,6 +104,34 @@
 	s.awaitExit()
 }
 
+// Guards against an exit before the event loop, which does not get the processor, has read a request that was written in time. The
+// event loop is held until the scheduler would have exited.
+func TestShutdownWaitsForUnreadRequest(t *testing.T) {
+	blocker := newEventLoopBlocker("Terminated")
+	other, n := newNode(t, scripted.AcceptAll), newNode(t, scripted.AcceptAll)
+	s := startSchedulerWith(t, schedulerOptions{logHook: blocker.hook}, scripted.Entry("s-1", other.Addr(), "leaving"),
+		scripted.Entry("s-2", n.Addr(), "active"))
+	c := s.connect()
+	c.placeTask(3) // marks the connection as one of an owner
+	for range 2 {
+		channeltest.Await(t, blocker.linkUps, "a link to be up")
+	}
+	blocker.armed.Store(true)
+	other.ResetConnections()
+	channeltest.Await(t, blocker.blocked, "the event loop to block")
+	c.submit(4)
+	close(s.stop)
+	const untilExit = acceptPeriod + 4*quietPeriod + ownerCloseTimeout // of a scheduler that does not wait for its event loop
+	select {
+	case err := <-s.runResult:
+		t.Errorf("got the exit, error %v, want the scheduler to wait for its event loop", err)
+	case <-time.After(untilExit):
+	}
+	close(blocker.release)
+	c.expectReply("answer", 4, 0)
+	s.awaitExit()
+}
+
 // When the scheduler exits while an owner still sends messages, the last response arrives completely. The messages that the
 // owner sends meanwhile must not cause a reset, which could destroy a response that the owner has not read yet.
 func TestShutdownDeliversLastAnswers(t *testing.T) {
