Trials: clients wait anew for a resubmitted job, and offers of killed schedulers end

Cause: a client that was stopped resubmitted a job late and waited by its first deadline, so an outcome in time counted as missing. An offer of a killed scheduler whose connection was recorded as closed after the kill stayed in flight for the checker. Change: the wait begins anew with a resubmission; a closed connection ends all its offers.

--- a/internal/testbed/rules/attempt.go
+++ b/internal/testbed/rules/attempt.go
@@ -1,9 +1,6 @@
 package rules
 
 import (
-	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"flaxshelf.example/flaxshelf/internal/codec/nodeframe/nodepb"
@@ -73,12 +70,6 @@
 	return set
 }
 
-// sortedActive returns the active attempts of a scheduler, sorted by identifier.
-func (c *checker) sortedActive(scheduler string) []*attempt {
-	byID := func(a, b *attempt) int { return strings.Compare(a.id, b.id) }
-	return slices.SortedFunc(maps.Keys(c.activeAttempts[scheduler]), byID)
-}
-
 // expire sets the phase of an attempt to outcomeUnknown if its offer may have expired without a reply.
 func (c *checker) expire(a *attempt) {
 	if a.phase == inFlight && c.now >= a.expiresAfter()-c.limits.TimeTolerance {
@@ -90,9 +81,9 @@
 func (a *attempt) expiresAfter() time.Duration { return a.sentAfter + a.validFor }
 
 // connectionLost sets the phase of the attempts in flight on a closed connection to outcomeUnknown, since the node may have
-// accepted them.
+// accepted them. Its scheduler may have been killed before.
 func (c *checker) connectionLost(link *connection) {
-	for _, a := range c.sortedActive(link.dialer) {
+	for _, a := range c.attempts {
 		if a.connection == link.id && a.phase == inFlight {
 			c.transition(a.id, outcomeUnknown)
 		}
--- a/internal/testbed/trial/submission.go
+++ b/internal/testbed/trial/submission.go
@@ -39,8 +39,7 @@
 		c.stats.SentLate++
 	}
 	c.mu.Unlock()
-	deadline := due.Add(c.placementTimeout(arrival.Load.Class) + c.cluster.day.Rules.AnswerSlack.Duration() + outcomeGrace)
-	end := c.submitUntilOutcome(ctx, arrival, s, deadline)
+	end := c.submitUntilOutcome(ctx, arrival, s, c.outcomeDeadline(arrival.Load.Class, due))
 
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,21 +54,23 @@
 	delete(c.openSubmissions, arrival.Key)
 }
 
+// outcomeDeadline returns until when a client waits for the outcome of a job of a class that it submits at the given time.
+func (c *clients) outcomeDeadline(class string, submittedAt time.Time) time.Time {
+	return submittedAt.Add(c.placementTimeout(class) + c.cluster.day.Rules.AnswerSlack.Duration() + outcomeGrace)
+}
+
 // submitUntilOutcome submits a job, and resubmits it to each later incarnation of its scheduler until there is an outcome. The
 // result is how the submission ended if there is no outcome; otherwise it is not used.
 func (c *clients) submitUntilOutcome(ctx context.Context, arrival *scenario.Arrival, s *submission,
 	deadline time.Time) string {
 	process := c.cluster.schedulers[arrival.Scheduler]
-	requestCtx, cancel := context.WithDeadline(ctx, deadline.Add(outcomeGrace))
-	defer cancel()
 	for retry := false; ; retry = true {
 		incarnation := process.incarnation()
-		job, err := c.submit(requestCtx, arrival, retry)
-		if err != nil {
+		if err := c.submitOnce(ctx, arrival, retry, deadline); err != nil {
 			return endRejected + errorLabel(err)
 		}
-		if !retry {
-			c.controlJob(requestCtx, job, arrival)
+		if retry { // the job's placement timeout begins anew
+			deadline = c.outcomeDeadline(arrival.Load.Class, time.Now())
 		}
 		killed := c.awaitOutcome(ctx, s, process, incarnation, deadline)
 		switch {
@@ -83,6 +84,20 @@
 	}
 }
 
+// submitOnce submits or resubmits a job, and controls it after the first submission. It gives up after the deadline and a grace.
+func (c *clients) submitOnce(ctx context.Context, arrival *scenario.Arrival, retry bool, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(outcomeGrace))
+	defer cancel()
+	job, err := c.submit(ctx, arrival, retry)
+	if err != nil {
+		return err
+	}
+	if !retry {
+		c.controlJob(ctx, job, arrival)
+	}
+	return nil
+}
+
 func (s *submission) isOutcomeKnown() bool {
 	select {
 	case <-s.outcomeReported:
