--- a/internal/requests/link.go
+++ b/internal/requests/link.go
@@ -228,8 +228,8 @@
 	})
 }
 
-// closeLink closes a link and removes it from the core. It does nothing for a link that was removed before: the end of an attempt,
-// which a removal causes, may close further links.
+// closeLink closes a link and removes it from the core. It does nothing for a link that was removed before: the end of an
+// attempt, which a removal causes, may close further links.
 func (c *Core) closeLink(l *link) {
 	if c.links[l.id] != l {
 		return
--- a/internal/testbed/rules/recording_test.go
+++ b/internal/testbed/rules/recording_test.go
@@ -186,7 +186,7 @@
 
 // reconnect closes the connection to n1 and opens another one, on which n1 reports the end of attempts.
 func (r *recordingBuilder) reconnect(newConnection int, ended ...string) *recordingBuilder {
-	r.close(node1Connection).open(newConnection, NodeProtocol, "n1")
+	r.disconnect().open(newConnection, NodeProtocol, "n1")
 	return r.reportEnds(newConnection, ended...)
 }
 
@@ -199,8 +199,9 @@
 	return r.reply(connection, &nodepb.Frame{Body: &nodepb.Frame_Welcome{Welcome: welcome}})
 }
 
-func (r *recordingBuilder) close(connection int) *recordingBuilder {
-	r.add(&recordingpb.Record{Body: &recordingpb.Record_Close{Close: &recordingpb.Close{Conn: uint64(connection)}}})
+// disconnect closes the connection to n1.
+func (r *recordingBuilder) disconnect() *recordingBuilder {
+	r.add(&recordingpb.Record{Body: &recordingpb.Record_Close{Close: &recordingpb.Close{Conn: node1Connection}}})
 	return r
 }
 
--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -86,7 +86,7 @@
 			[]int{NoDuplicateStart}},
 		{"by key, to another zone", first("keyed").at(600).offer(node2Connection, "j/1/1", "keyed"),
 			[]int{NoDuplicateStart}},
-		{"a lost connection is no proof", first("unsafe").close(node1Connection).at(600).
+		{"a lost connection is no proof", first("unsafe").disconnect().at(600).
 			offer(node2Connection, "j/1/1", "unsafe"), []int{NoDuplicateStart}},
 		{"accepted by two nodes", first("unsafe").reject(node1Connection, "j/1/0").
 			offer(node2Connection, "j/1/1", "unsafe").accept(node2Connection, "j/1/1").accept(node1Connection, "j/1/0"),
@@ -118,10 +118,10 @@
 			at(600).reconnect(secondNode1Connection, "j/1/0").offer(node2Connection, "j/1/1", "unsafe").
 			accept(node2Connection, "j/1/1"), nil},
 		{"after a node stopped with its last acceptance", first("unsafe").mark(recordproxy.EventNodeStopped, "n1").
-			accept(node1Connection, "j/1/0").close(node1Connection).listing(true, "n2").at(2600).
+			accept(node1Connection, "j/1/0").disconnect().listing(true, "n2").at(2600).
 			offer(node2Connection, "j/1/1", "unsafe").accept(node2Connection, "j/1/1"), nil},
 		{"on a connection that is closed after its scheduler was killed", first("safe").mark(recordproxy.EventSchedulerKilled, "s").
-			close(node1Connection).at(100).offer(node2Connection, "j/2/0", "safe"), nil},
+			disconnect().at(100).offer(node2Connection, "j/2/0", "safe"), nil},
 		{"after its node was removed while its scheduler did not run", first("safe").accept(node1Connection, "j/1/0").
 			mark(recordproxy.EventSchedulerKilled, "s").at(600).listing(true, "n2").offer(node2Connection, "j/2/0", "safe"), nil},
 		{"by key, accepted after a lost connection whose node reports the end later", first("keyed").
