--- a/internal/channeltest/channeltest.go
+++ b/internal/channeltest/channeltest.go
@@ -23,9 +23,25 @@
 	panic("unreachable")
 }
 
-// Hold blocks the code under test until the test sends to release or closes it, and at most for the limit: a test that has failed
-// releases nothing, but its cleanup waits for that code.
-func Hold(release <-chan struct{}) {
+// Send sends a value. It fails the test if nothing receives it within the limit; what says what should. It must be called on the
+// test's goroutine.
+func Send[T any](t testing.TB, values chan<- T, value T, what string) {
+	t.Helper()
+	select {
+	case values <- value:
+	case <-time.After(limit):
+		t.Fatalf("waited %v for %s to receive", limit, what)
+	}
+}
+
+// Hold reports on held that the code under test is blocked, and blocks it until the test sends to release or closes it. Each takes
+// the limit at most: a test that has failed does neither, but its cleanup waits for that code.
+func Hold(held chan<- struct{}, release <-chan struct{}) {
+	select {
+	case held <- struct{}{}:
+	case <-time.After(limit):
+		return
+	}
 	select {
 	case <-release:
 	case <-time.After(limit):
--- a/internal/platform/memory_test.go
+++ b/internal/platform/memory_test.go
@@ -26,8 +26,7 @@
 	n := newNode(t, scripted.AcceptAll)
 	s := startSchedulerWith(t, schedulerOptions{logHook: func(line string) {
 		if strings.Contains(line, `"in":"Ping"`) && armed.CompareAndSwap(true, false) {
-			blocked <- struct{}{}
-			channeltest.Hold(release)
+			channeltest.Hold(blocked, release)
 		}
 	}}, scripted.Entry("s-1", n.Addr(), "active"))
 	usual := s.connect()
@@ -79,8 +78,7 @@
 	blocked, release := make(chan struct{}), make(chan struct{})
 	s := startSchedulerWith(t, schedulerOptions{logHook: func(line string) {
 		if strings.Contains(line, `"in":"Ping"`) && armed.CompareAndSwap(true, false) {
-			blocked <- struct{}{}
-			channeltest.Hold(release)
+			channeltest.Hold(blocked, release)
 		}
 	}}, scripted.Entry("s-1", newNode(t, scripted.AcceptAll).Addr(), "active"))
 	owner := s.connect()
--- a/internal/platform/offer_race_test.go
+++ b/internal/platform/offer_race_test.go
@@ -35,8 +35,7 @@
 func (b *eventLoopBlocker) hook(line string) {
 	switch {
 	case strings.Contains(line, linkClosedMessage) && b.armed.CompareAndSwap(true, false):
-		b.blocked <- struct{}{}
-		channeltest.Hold(b.release)
+		channeltest.Hold(b.blocked, b.release)
 	case strings.Contains(line, b.effect):
 		report(b.executed, line)
 	case strings.Contains(line, `"in":"LinkUp"`):
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -90,7 +90,7 @@
 			case <-time.After(10 * time.Second):
 				t.Error("got no result of Dial while the event loop is held, want an error")
 			}
-			held.release <- struct{}{}
+			channeltest.Send(t, held.release, struct{}{}, "the held event loop")
 			_ = abandoned.SetReadDeadline(time.Now().Add(10 * time.Second))
 			if n, err := abandoned.Read(make([]byte, 1)); n != 0 || !errors.Is(err, io.EOF) {
 				t.Errorf("got %d bytes, error %v on the abandoned connection, want it closed", n, err)
--- a/internal/transport/helpers_test.go
+++ b/internal/transport/helpers_test.go
@@ -88,8 +88,7 @@
 }
 
 func (h *blockingHandler) Receive(_ *Conn, in []byte) (int, error) {
-	h.blocked <- struct{}{}
-	channeltest.Hold(h.release)
+	channeltest.Hold(h.blocked, h.release)
 	return len(in), nil
 }
 
--- a/internal/transport/order_test.go
+++ b/internal/transport/order_test.go
@@ -49,7 +49,7 @@
 	}
 	a.Stop()
 	if firstRun > 0 {
-		blocker.release <- struct{}{}
+		channeltest.Send(t, blocker.release, struct{}{}, "the held event loop")
 		channeltest.Await(t, blocker.blocked, "the held event loop")
 	}
 	go blocker.releaseDuringStop()
