--- a/internal/channeltest/channeltest.go
+++ b/internal/channeltest/channeltest.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// Hold reports on held that the code under test is blocked, and blocks it until the test sends to release or closes it. Each takes
-// the limit at most: a test that has failed does neither, but its cleanup waits for that code.
+// Hold reports on held that the code under test is blocked, and blocks it until the test sends to release or closes it. Each
+// takes the limit at most: a test that has failed does neither, but its cleanup waits for that code.
 func Hold(held chan<- struct{}, release <-chan struct{}) {
 	select {
 	case held <- struct{}{}:
