--- a/internal/testbed/rules/acceptance.go
+++ b/internal/testbed/rules/acceptance.go
@@ -49,9 +49,8 @@
 	return link == nil || link.closed
 }
 
-// nodeEnded processes the end of an attempt when its node reports it. It settles the overlaps that wait for it. While the
-// scheduler of the attempt was not connected, the node could not report the end in time.
-func (c *checker) nodeEnded(id string, whileDisconnected bool) {
+// nodeEnded processes the end of an attempt when its node reports it. It settles the overlaps that wait for it.
+func (c *checker) nodeEnded(id string) {
 	a := c.attempts[id]
 	if a == nil {
 		return
@@ -62,7 +61,7 @@
 		switch {
 		case o.earlier != a:
 			waiting = append(waiting, o)
-		case !whileDisconnected && c.earliest-o.recordedAt > c.limits.TimeTolerance:
+		case c.earliest-o.recordedAt > c.limits.TimeTolerance:
 			c.addOverlapViolation(o)
 		}
 	}
--- a/internal/testbed/rules/offer.go
+++ b/internal/testbed/rules/offer.go
@@ -53,7 +53,7 @@
 		switch earlier.phase {
 		case inFlight:
 			// Of two offers whose times of sending are uncertain, the recorder may have read the later one first.
-			expiredBefore := earlier.sentAt >= offered.expiresAfter()-c.limits.TimeTolerance
+			expiredBefore := earlier.sentAt > offered.sentAfter && earlier.sentAt >= offered.expiresAfter()-c.limits.TimeTolerance
 			if !earlier.stopped && !expiredBefore {
 				c.addViolation(NoDuplicateStart, "%s is offered as %s while %s is in flight", offered.key, offered.id, earlier.id)
 			}
@@ -148,10 +148,10 @@
 		}
 		c.nodeAccepted(body.Accepted.Attempt)
 	case *nodepb.Frame_Ended:
-		c.nodeEnded(body.Ended.Attempt, false)
+		c.nodeEnded(body.Ended.Attempt)
 	case *nodepb.Frame_Welcome:
 		for _, ended := range body.Welcome.Ended {
-			c.nodeEnded(ended.Attempt, true)
+			c.nodeEnded(ended.Attempt)
 		}
 	}
 }
--- a/internal/testbed/rules/recording_test.go
+++ b/internal/testbed/rules/recording_test.go
@@ -141,9 +141,14 @@
 
 // offer adds an offer. The identifier of the job is the part of the attempt's identifier before the first slash.
 func (r *recordingBuilder) offer(connection int, attempt, class string) *recordingBuilder {
+	return r.offerFor(500*time.Millisecond, connection, attempt, class)
+}
+
+// offerFor adds an offer that is valid for the given time.
+func (r *recordingBuilder) offerFor(validity time.Duration, connection int, attempt, class string) *recordingBuilder {
 	task := &nodepb.Task{Job: strings.Split(attempt, "/")[0], Class: class, Service: "v", Ask: 1}
 	r.frame(connection, false, &nodepb.Frame{Body: &nodepb.Frame_Offer{Offer: &nodepb.Offer{Attempt: attempt,
-		ValidForNs: int64(500 * time.Millisecond), Task: task}}})
+		ValidForNs: int64(validity), Task: task}}})
 	return r
 }
 
--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"flaxshelf.example/flaxshelf/drmaa2"
 	"flaxshelf.example/flaxshelf/internal/testbed/recordproxy"
@@ -126,8 +127,14 @@
 			mark(recordproxy.EventSchedulerKilled, "s").at(600).listing(true, "n2").offer(node2Connection, "j/2/0", "safe"), nil},
 		{"by key, accepted after a lost connection whose node reports the end later", first("keyed").
 			accept(node1Connection, "j/1/0").at(600).reconnect(secondNode1Connection).
-			offer(secondNode1Connection, "j/1/1", "keyed").accept(secondNode1Connection, "j/1/1").at(700).
+			offer(secondNode1Connection, "j/1/1", "keyed").accept(secondNode1Connection, "j/1/1").at(610).
 			reportEnds(secondNode1Connection, "j/1/0"), nil},
+		{"by key, accepted after a lost connection whose node reports the end after the tolerance", first("keyed").
+			accept(node1Connection, "j/1/0").at(600).reconnect(secondNode1Connection).
+			offer(secondNode1Connection, "j/1/1", "keyed").accept(secondNode1Connection, "j/1/1").at(611).
+			reportEnds(secondNode1Connection, "j/1/0"), []int{NoDuplicateStart}},
+		{"in flight, by an offer whose time is below the tolerance", first("safe").at(1).
+			offerFor(5*time.Millisecond, node2Connection, "j/1/1", "safe"), []int{NoDuplicateStart}},
 		{"by key, accepted after a lost connection without an end", first("keyed").
 			accept(node1Connection, "j/1/0").at(600).reconnect(secondNode1Connection).
 			offer(secondNode1Connection, "j/1/1", "keyed").accept(secondNode1Connection, "j/1/1"), []int{NoDuplicateStart}},
