--- a/internal/testbed/rules/recording_test.go
+++ b/internal/testbed/rules/recording_test.go
@@ -144,6 +144,11 @@
 	return r.offerFor(500*time.Millisecond, connection, attempt, class)
 }
 
+// shortOffer adds an offer to n2 that is valid for less than the tolerance.
+func (r *recordingBuilder) shortOffer(attempt string) *recordingBuilder {
+	return r.offerFor(testLimits.TimeTolerance/2, node2Connection, attempt, "safe")
+}
+
 // offerFor adds an offer that is valid for the given time.
 func (r *recordingBuilder) offerFor(validity time.Duration, connection int, attempt, class string) *recordingBuilder {
 	task := &nodepb.Task{Job: strings.Split(attempt, "/")[0], Class: class, Service: "v", Ask: 1}
@@ -190,18 +195,18 @@
 }
 
 // reconnect closes the connection to n1 and opens another one, on which n1 reports the end of attempts.
-func (r *recordingBuilder) reconnect(newConnection int, ended ...string) *recordingBuilder {
-	r.disconnect().open(newConnection, NodeProtocol, "n1")
-	return r.reportEnds(newConnection, ended...)
+func (r *recordingBuilder) reconnect(ended ...string) *recordingBuilder {
+	r.disconnect().open(secondNode1Connection, NodeProtocol, "n1")
+	return r.reportEnds(ended...)
 }
 
-// reportEnds adds a welcome of n1 that reports the end of attempts.
-func (r *recordingBuilder) reportEnds(connection int, attempts ...string) *recordingBuilder {
+// reportEnds adds a welcome of n1 on its second connection that reports the end of attempts.
+func (r *recordingBuilder) reportEnds(attempts ...string) *recordingBuilder {
 	welcome := &nodepb.Welcome{Node: "n1"}
 	for _, attempt := range attempts {
 		welcome.Ended = append(welcome.Ended, &nodepb.Ended{Attempt: attempt})
 	}
-	return r.reply(connection, &nodepb.Frame{Body: &nodepb.Frame_Welcome{Welcome: welcome}})
+	return r.reply(secondNode1Connection, &nodepb.Frame{Body: &nodepb.Frame_Welcome{Welcome: welcome}})
 }
 
 // disconnect closes the connection to n1.
--- a/internal/testbed/rules/rules_test.go
+++ b/internal/testbed/rules/rules_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"strings"
 	"testing"
-	"time"
 
 	"flaxshelf.example/flaxshelf/drmaa2"
 	"flaxshelf.example/flaxshelf/internal/testbed/recordproxy"
@@ -116,7 +115,7 @@
 		{"in flight, sent shortly before its last bytes", newRecording().at(510).offer(node2Connection, "j/1/1", "safe").at(520).
 			readLate(10, 10).offer(node1Connection, "j/1/0", "safe"), []int{NoDuplicateStart}},
 		{"after an end that the node reports when it is connected again", first("unsafe").accept(node1Connection, "j/1/0").
-			at(600).reconnect(secondNode1Connection, "j/1/0").offer(node2Connection, "j/1/1", "unsafe").
+			at(600).reconnect("j/1/0").offer(node2Connection, "j/1/1", "unsafe").
 			accept(node2Connection, "j/1/1"), nil},
 		{"after a node stopped with its last acceptance", first("unsafe").mark(recordproxy.EventNodeStopped, "n1").
 			accept(node1Connection, "j/1/0").disconnect().listing(true, "n2").at(2600).
@@ -126,17 +125,17 @@
 		{"after its node was removed while its scheduler did not run", first("safe").accept(node1Connection, "j/1/0").
 			mark(recordproxy.EventSchedulerKilled, "s").at(600).listing(true, "n2").offer(node2Connection, "j/2/0", "safe"), nil},
 		{"by key, accepted after a lost connection whose node reports the end later", first("keyed").
-			accept(node1Connection, "j/1/0").at(600).reconnect(secondNode1Connection).
+			accept(node1Connection, "j/1/0").at(600).reconnect().
 			offer(secondNode1Connection, "j/1/1", "keyed").accept(secondNode1Connection, "j/1/1").at(610).
-			reportEnds(secondNode1Connection, "j/1/0"), nil},
+			reportEnds("j/1/0"), nil},
 		{"by key, accepted after a lost connection whose node reports the end after the tolerance", first("keyed").
-			accept(node1Connection, "j/1/0").at(600).reconnect(secondNode1Connection).
+			accept(node1Connection, "j/1/0").at(600).reconnect().
 			offer(secondNode1Connection, "j/1/1", "keyed").accept(secondNode1Connection, "j/1/1").at(611).
-			reportEnds(secondNode1Connection, "j/1/0"), []int{NoDuplicateStart}},
+			reportEnds("j/1/0"), []int{NoDuplicateStart}},
 		{"in flight, by an offer whose time is below the tolerance", first("safe").at(1).
-			offerFor(5*time.Millisecond, node2Connection, "j/1/1", "safe"), []int{NoDuplicateStart}},
+			shortOffer("j/1/1"), []int{NoDuplicateStart}},
 		{"by key, accepted after a lost connection without an end", first("keyed").
-			accept(node1Connection, "j/1/0").at(600).reconnect(secondNode1Connection).
+			accept(node1Connection, "j/1/0").at(600).reconnect().
 			offer(secondNode1Connection, "j/1/1", "keyed").accept(secondNode1Connection, "j/1/1"), []int{NoDuplicateStart}},
 	}
 }
